Lay the skeleton: workspace, wire types, log trait, agreed state

Cause: an empty repository; the parts are to be built side by side. Conclusion: the borders compile; each part follows in its own package.

--- /dev/null
+++ b/crates/masticcross-agent/src/lib.rs
@@ -0,0 +1,1 @@
+//! The agent process.
--- /dev/null
+++ b/crates/masticcross-basics/src/logging.rs
@@ -0,0 +1,65 @@
+//! Set-up of structured logging for the programs.
+
+use std::io::Write;
+
+use log::kv::{Key, Value, VisitSource};
+
+/// Form of the log lines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum LogFormat {
+    /// Lines for people.
+    #[default]
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+impl std::str::FromStr for LogFormat {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "text" => Ok(Self::Text),
+            "json" => Ok(Self::Json),
+            other => Err(format!(
+                "{other:?} is no log format; accepted are text and json"
+            )),
+        }
+    }
+}
+
+/// Sets up logging to standard error. `RUST_LOG` selects the levels; the default is `info`.
+pub fn init(format: LogFormat) {
+    let env = env_logger::Env::default().default_filter_or("info");
+    let mut builder = env_logger::Builder::from_env(env);
+    if format == LogFormat::Json {
+        builder.format(|buf, record| writeln!(buf, "{}", json_line(record)));
+    }
+    // A second call in the same process keeps the first set-up.
+    let _ = builder.try_init();
+}
+
+fn json_line(record: &log::Record<'_>) -> String {
+    let mut fields = Fields(serde_json::Map::new());
+    fields.set("level", record.level().as_str());
+    fields.set("target", record.target());
+    fields.set("message", &record.args().to_string());
+    // The visitor below never fails.
+    let _ = record.key_values().visit(&mut fields);
+    serde_json::Value::Object(fields.0).to_string()
+}
+
+struct Fields(serde_json::Map<String, serde_json::Value>);
+
+impl Fields {
+    fn set(&mut self, key: &str, value: &str) {
+        self.0.insert(key.to_owned(), value.into());
+    }
+}
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), log::kv::Error> {
+        self.set(key.as_str(), &value.to_string());
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/masticcross-config/src/document.rs
@@ -0,0 +1,202 @@
+//! Shape of the document.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use masticcross_basics::Name;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// Schema version that this build reads.
+pub const SCHEMA: u32 = 1;
+
+/// Why a document was refused.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("{0}")]
+pub struct DocumentError(pub String);
+
+/// Result of reading a document.
+pub type Result<T> = std::result::Result<T, DocumentError>;
+
+/// The whole configuration document.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Document {
+    /// Version of the document's schema.
+    pub schema: u32,
+    /// Services by name.
+    pub services: BTreeMap<Name, Service>,
+    /// Availability zones by name.
+    pub zones: BTreeMap<Name, Zone>,
+    /// Teams by name.
+    pub teams: BTreeMap<Name, Team>,
+    /// Limits of the entries.
+    #[serde(default)]
+    pub limits: Limits,
+    /// Times of the agreement. Their relations are checked.
+    #[serde(default)]
+    pub times: Times,
+}
+
+/// A service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    /// Longest accepted deadline of a job, in milliseconds.
+    #[serde(default = "default_max_deadline_ms")]
+    pub max_deadline_ms: u32,
+    /// Deadline of a job that names none, in milliseconds.
+    #[serde(default = "default_deadline_ms")]
+    pub default_deadline_ms: u32,
+    /// Most tasks that wait at one entry.
+    #[serde(default = "default_max_waiting")]
+    pub max_waiting_tasks: u32,
+}
+
+fn default_max_deadline_ms() -> u32 {
+    60_000
+}
+
+fn default_deadline_ms() -> u32 {
+    10_000
+}
+
+fn default_max_waiting() -> u32 {
+    20_000
+}
+
+/// An availability zone.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Zone {
+    /// False while operators have taken the zone out.
+    #[serde(default = "default_in_service")]
+    pub in_service: bool,
+}
+
+fn default_in_service() -> bool {
+    true
+}
+
+/// A team.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Team {
+    /// Share of the workers under load, relative to the other teams.
+    #[serde(default = "default_weight")]
+    pub weight: u32,
+    /// Most tasks of the team that run or wait at one entry; none for no quota.
+    #[serde(default)]
+    pub max_tasks: Option<u32>,
+}
+
+fn default_weight() -> u32 {
+    1
+}
+
+/// Limits of the entries.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// Largest accepted body of a job, in bytes.
+    pub max_body_bytes: u32,
+    /// Memory for kept answers at each entry, in bytes.
+    pub answer_memory_bytes: u64,
+    /// Jobs kept in the once-only table of each entry.
+    pub max_jobs: u32,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            max_body_bytes: 1024 * 1024,
+            answer_memory_bytes: 64 * 1024 * 1024,
+            max_jobs: 500_000,
+        }
+    }
+}
+
+/// Times of the agreement, in milliseconds.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Times {
+    /// How long a view may be used after the moment it was fresh.
+    pub freshness_ms: u32,
+    /// Interval of heartbeats between processes.
+    pub heartbeat_ms: u32,
+    /// Silence after which a process counts as lost.
+    pub suspect_after_ms: u32,
+    /// How long a job id stays known after its admission.
+    pub once_window_ms: u32,
+}
+
+impl Default for Times {
+    fn default() -> Self {
+        Self {
+            freshness_ms: 2_000,
+            heartbeat_ms: 250,
+            suspect_after_ms: 1_250,
+            once_window_ms: 600_000,
+        }
+    }
+}
+
+impl Times {
+    /// Returns how long a view may be used after the moment it was fresh.
+    #[must_use]
+    pub fn freshness(&self) -> Duration {
+        Duration::from_millis(self.freshness_ms.into())
+    }
+
+    /// Returns the wait after which no start under an older view is possible: the freshness time
+    /// and a twentieth for clocks that run at different rates.
+    #[must_use]
+    pub fn fence(&self) -> Duration {
+        self.freshness() + self.freshness() / 20
+    }
+
+    /// Returns the interval of heartbeats.
+    #[must_use]
+    pub fn heartbeat(&self) -> Duration {
+        Duration::from_millis(self.heartbeat_ms.into())
+    }
+
+    /// Returns the silence after which a process counts as lost.
+    #[must_use]
+    pub fn suspect_after(&self) -> Duration {
+        Duration::from_millis(self.suspect_after_ms.into())
+    }
+
+    /// Returns how long a job id stays known after its admission.
+    #[must_use]
+    pub fn once_window(&self) -> Duration {
+        Duration::from_millis(self.once_window_ms.into())
+    }
+}
+
+impl Document {
+    /// Reads and checks a document.
+    ///
+    /// # Errors
+    /// Says what is wrong and where.
+    pub fn parse(text: &str) -> Result<Self> {
+        let doc: Self = toml::from_str(text).map_err(|e| DocumentError(e.to_string()))?;
+        if doc.schema != SCHEMA {
+            return Err(DocumentError(format!(
+                "schema is {}; accepted is {SCHEMA}",
+                doc.schema
+            )));
+        }
+        Ok(doc)
+    }
+
+    /// Lists the availability zones that are out of service.
+    #[must_use]
+    pub fn zones_out(&self) -> Vec<Name> {
+        self.zones
+            .iter()
+            .filter(|(_, zone)| !zone.in_service)
+            .map(|(name, _)| name.clone())
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/masticcross-config/src/lib.rs
@@ -0,0 +1,14 @@
+//! The operators' configuration document, in TOML, and its validator.
+//!
+//! ```
+//! use masticcross_config::Document;
+//!
+//! let text = masticcross_config::samples::GUILD;
+//! let doc = Document::parse(text).expect("the sample is valid");
+//! assert!(doc.services.contains_key("quote-desk"));
+//! ```
+
+pub mod document;
+pub mod samples;
+
+pub use document::{Document, Limits, Service, Team, Times, Zone};
--- /dev/null
+++ b/crates/masticcross-entry/src/http/mod.rs
@@ -0,0 +1,1 @@
+//! The interface of callers, over HTTP.
--- /dev/null
+++ b/crates/masticcross-ledger/src/lib.rs
@@ -0,0 +1,28 @@
+//! The state that all entries agree on: a fold of the streams `config` and `partitions`.
+//!
+//! Every entry reads both streams in order and applies each record by the same rules, so entries
+//! that have read equally far have equal state. Nothing is voted on: the order of the log decides.
+//!
+//! ```
+//! use masticcross_ledger::AgreedState;
+//!
+//! let state = AgreedState::default();
+//! assert_eq!(state.config.version, 0);
+//! ```
+
+pub mod agreement;
+pub mod record;
+pub mod state;
+
+pub use agreement::{Agreement, LedgerIdentity};
+pub use record::{AdmissionBatch, AdmissionRecord, ConfigChange, PartitionClaim, PartitionsChange};
+pub use state::{AgentEntry, AgreedConfig, AgreedState, Ownership};
+
+/// Stream of configuration documents.
+pub const CONFIG_STREAM: &str = "config";
+
+/// Stream of members, owners and agents. Its name ends with the region's.
+pub const PARTITIONS_STREAM: &str = "partitions";
+
+/// Stream of admitted jobs. Its name ends with the region's.
+pub const ADMISSIONS_STREAM: &str = "admissions";
--- /dev/null
+++ b/crates/masticcross-standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform and for backend servers. Not shipped.
--- /dev/null
+++ b/crates/masticcross-wire/src/view.rs
@@ -0,0 +1,60 @@
+//! What an agent knows of the agreed state.
+
+use std::net::SocketAddr;
+
+use masticcross_basics::{Epoch, Name};
+use serde::{Deserialize, Serialize};
+
+use crate::Incarnation;
+
+/// Positions in the two streams of the log up to which a view goes. Both only grow.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, Default, Hash,
+)]
+pub struct ViewVersion {
+    /// Offset after the last record read of stream `config`.
+    pub config: u64,
+    /// Offset after the last record read of stream `partitions`.
+    pub partitions: u64,
+}
+
+/// An entry that takes part in owning partitions.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Stable name from the settings of the entry.
+    pub name: Name,
+    /// The start of the process that joined.
+    pub incarnation: Incarnation,
+    /// Where the entry accepts sessions.
+    pub addr: SocketAddr,
+    /// Availability zone of the entry.
+    pub zone: Name,
+}
+
+/// Owner and epoch of one partition.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Default)]
+pub struct PartitionOwner {
+    /// Position in [`AgentView::members`]; none if nobody owns the partition.
+    pub member: Option<u16>,
+    /// The owner's epoch.
+    pub epoch: Epoch,
+}
+
+/// The part of the agreed state that an agent needs.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AgentView {
+    /// Positions in the log up to which this view goes.
+    pub version: ViewVersion,
+    /// Version of the configuration in force.
+    pub config_version: u64,
+    /// Availability zones that are out of service.
+    pub zones_out: Vec<Name>,
+    /// How long a view may be used after the moment it was fresh, in milliseconds.
+    pub freshness_ms: u32,
+    /// Entries that take part.
+    pub members: Vec<Member>,
+    /// Owner of each partition, by position.
+    pub partitions: Vec<PartitionOwner>,
+    /// True if the agent's incarnation is registered in the log, so that it may start tasks.
+    pub registered: bool,
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,5 @@
+//! The entry process and the operators command line.
+
+fn main() {
+    println!("masticcross {}", env!("CARGO_PKG_VERSION"));
+}
