Add the shared HTTP server loop, bounded bodies and problem documents

Cause: entry and agent both serve HTTP through gotham, whose own server has neither a connection limit nor a graceful stop. Change: masticcross-http serves a gotham router on hyper-util's connection builder with limits, header time-out and a stop that lets requests in progress end. Conclusion: one server loop for all ports.

--- /dev/null
+++ b/crates/masticcross-http/src/body.rs
@@ -0,0 +1,94 @@
+//! Reading of bodies within limits of size and time.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use gotham::helpers::http::Body;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use masticcross_basics::Code;
+use serde::de::DeserializeOwned;
+use thiserror::Error;
+use tokio::time::timeout;
+
+use crate::problem::Problem;
+
+/// Why a body was not accepted.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum BodyError {
+    /// The body is larger than accepted.
+    #[error("body is over the limit of {0} bytes")]
+    TooLarge(usize),
+    /// The body did not arrive in time.
+    #[error("body did not arrive within {0:?}")]
+    Timeout(Duration),
+    /// The connection broke.
+    #[error("body could not be read: {0}")]
+    Broken(String),
+    /// The body is not JSON of the documented shape.
+    #[error("{path}: {reason}")]
+    Malformed {
+        /// Field concerned.
+        path: String,
+        /// Reason and place.
+        reason: String,
+    },
+}
+
+/// Result of reading a body.
+pub type Result<T> = std::result::Result<T, BodyError>;
+
+impl BodyError {
+    /// Returns the result code.
+    #[must_use]
+    pub fn code(&self) -> Code {
+        match self {
+            Self::TooLarge(_) => Code::BodyTooLarge,
+            Self::Timeout(_) => Code::BodyTimeout,
+            Self::Broken(_) | Self::Malformed { .. } => Code::MalformedBody,
+        }
+    }
+}
+
+impl From<BodyError> for Problem {
+    fn from(error: BodyError) -> Self {
+        Self::new(error.code(), true, error.to_string())
+    }
+}
+
+/// Reads a whole body.
+///
+/// # Errors
+/// Fails if it is over `max_bytes`, slower than `limit`, or broken.
+pub async fn read_body(body: Body, max_bytes: usize, limit: Duration) -> Result<Bytes> {
+    let collected = timeout(limit, Limited::new(body, max_bytes).collect())
+        .await
+        .map_err(|_| BodyError::Timeout(limit))?;
+    match collected {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(BodyError::TooLarge(max_bytes)),
+        Err(error) => Err(BodyError::Broken(error.to_string())),
+    }
+}
+
+/// Reads JSON of a documented shape. The error names the field.
+///
+/// # Errors
+/// Fails if the bytes are not JSON, not of the shape, or have something after the value.
+pub fn read_json<T: DeserializeOwned>(bytes: &[u8]) -> Result<T> {
+    let mut reader = serde_json::Deserializer::from_slice(bytes);
+    let value = serde_path_to_error::deserialize(&mut reader).map_err(|e| malformed(&e))?;
+    reader.end().map_err(|e| BodyError::Malformed {
+        path: "body".to_owned(),
+        reason: e.to_string(),
+    })?;
+    Ok(value)
+}
+
+fn malformed(error: &serde_path_to_error::Error<serde_json::Error>) -> BodyError {
+    let path = error.path().to_string();
+    let path = if path == "." { "body".to_owned() } else { path };
+    BodyError::Malformed {
+        path,
+        reason: error.inner().to_string(),
+    }
+}
--- /dev/null
+++ b/crates/masticcross-http/src/server.rs
@@ -0,0 +1,172 @@
+//! The accept loop: bounded connections, time-outs, and a stop that cuts no request in progress.
+
+use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
+use std::sync::Arc;
+use std::time::Duration;
+
+use gotham::hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use gotham::service::call_handler;
+use gotham::state::State;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::server::conn::auto;
+use hyper_util::server::graceful::GracefulShutdown;
+use masticcross_basics::Code;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, watch};
+use tokio::task::JoinHandle;
+
+use crate::problem::Problem;
+
+/// Pause after a failed accept, so that a shortage of file descriptors does not spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Limits of one HTTP port.
+#[derive(Debug, Clone)]
+pub struct HttpLimits {
+    /// Connections at once; one more is refused.
+    pub max_connections: usize,
+    /// Longest wait for the headers of a request.
+    pub header_timeout: Duration,
+    /// Most header lines in a request.
+    pub max_headers: usize,
+    /// Largest size of all headers, in bytes.
+    pub max_header_bytes: usize,
+    /// Requests at once on one HTTP/2 connection.
+    pub max_streams: u32,
+}
+
+impl Default for HttpLimits {
+    fn default() -> Self {
+        Self {
+            max_connections: 4_096,
+            header_timeout: Duration::from_secs(10),
+            max_headers: 64,
+            max_header_bytes: 16 * 1024,
+            max_streams: 256,
+        }
+    }
+}
+
+/// A running HTTP port.
+#[derive(Debug)]
+pub struct HttpServer {
+    addr: SocketAddr,
+    stop: watch::Sender<bool>,
+    task: JoinHandle<()>,
+}
+
+impl HttpServer {
+    /// Serves a router on a bound listener.
+    ///
+    /// # Errors
+    /// Fails if the listener has no address.
+    pub fn start(
+        listener: TcpListener,
+        router: gotham::router::Router,
+        limits: HttpLimits,
+    ) -> std::io::Result<Self> {
+        let addr = listener.local_addr()?;
+        let (stop, stopped) = watch::channel(false);
+        let task = tokio::spawn(accept_loop(listener, router, limits, stopped));
+        Ok(Self { addr, stop, task })
+    }
+
+    /// Returns the address that the port listens on.
+    #[must_use]
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Stops accepting, lets requests in progress end, and returns when all connections are closed
+    /// or the limit has passed.
+    pub async fn close(self, limit: Duration) {
+        // The loop ends by itself if the receiver is gone.
+        let _ = self.stop.send(true);
+        let abort = self.task.abort_handle();
+        if tokio::time::timeout(limit, self.task).await.is_err() {
+            log::warn!(addr:% = self.addr; "connections still open at the end of the drain limit");
+            abort.abort();
+        }
+    }
+}
+
+async fn accept_loop(
+    listener: TcpListener,
+    router: gotham::router::Router,
+    limits: HttpLimits,
+    mut stopped: watch::Receiver<bool>,
+) {
+    let room = Arc::new(Semaphore::new(limits.max_connections));
+    let builder = Arc::new(builder(&limits));
+    let graceful = GracefulShutdown::new();
+    loop {
+        let accepted = tokio::select! {
+            biased;
+            _ = stopped.wait_for(|stop| *stop) => break,
+            accepted = listener.accept() => accepted,
+        };
+        let (stream, addr) = match accepted {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                log::warn!(error:%; "cannot accept a connection");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let Ok(permit) = room.clone().try_acquire_owned() else {
+            refuse(&stream);
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let watcher = graceful.watcher();
+        let builder = builder.clone();
+        let router = router.clone();
+        tokio::spawn(async move {
+            let service = service_fn(move |req: hyper::Request<Incoming>| {
+                let state = State::from_request(req, addr);
+                call_handler(router.clone(), AssertUnwindSafe(state))
+            });
+            let connection = builder.serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = watcher.watch(connection).await {
+                log::debug!(addr:%, error:%; "connection ended with an error");
+            }
+            drop(permit);
+        });
+    }
+    drop(listener);
+    graceful.shutdown().await;
+}
+
+fn builder(limits: &HttpLimits) -> auto::Builder<TokioExecutor> {
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.header_timeout)
+        .max_headers(limits.max_headers)
+        .max_buf_size(limits.max_header_bytes.max(8 * 1024));
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_concurrent_streams(limits.max_streams)
+        .max_header_list_size(u32::try_from(limits.max_header_bytes).unwrap_or(u32::MAX))
+        .keep_alive_interval(limits.header_timeout)
+        .keep_alive_timeout(limits.header_timeout);
+    builder
+}
+
+/// Answers a connection for which there is no room, without waiting for its request.
+fn refuse(stream: &TcpStream) {
+    let problem = Problem::new(Code::TooManyRequests, false, "too many connections");
+    let body = problem.to_json();
+    let status = problem.status();
+    let text = format!(
+        "HTTP/1.1 {status}\r\ncontent-type: application/problem+json\r\ncontent-length: {}\r\n\
+         connection: close\r\n\r\n{body}",
+        body.len(),
+    );
+    // The peer may be gone already; there is nothing else to tell it.
+    let _ = stream.try_write(text.as_bytes());
+}
