--- /dev/null
+++ b/crates/masticcross-entry/src/entry.rs
@@ -0,0 +1,250 @@
+//! One entry as a whole: its ports, its parts, and its orderly stop.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use eyre::{Result, WrapErr};
+use masticcross_basics::timeline::Timeline;
+use masticcross_http::{HttpLimits, HttpServer};
+use masticcross_ledger::{Agreement, LedgerIdentity};
+use masticcross_log::Log;
+use masticcross_wire::ws::{self, SharedSecret, WsDialer};
+use masticcross_wire::{Frame, Incarnation, Link, Role};
+use prometheus::Registry;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+use tokio::time::timeout;
+
+use crate::admission::Admissions;
+use crate::dispatch::Dispatch;
+use crate::http::callers::Callers;
+use crate::http::operators::Operators;
+use crate::identity::Identity;
+use crate::owner::Owner;
+use crate::peers::Peers;
+use crate::router::Router;
+use crate::settings::Settings;
+
+/// Longest wait for the first frame of a session.
+const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Sessions accepted and not yet taken over.
+const ACCEPT_QUEUE: usize = 64;
+
+/// A running entry.
+pub struct Entry {
+    identity: Identity,
+    callers: HttpServer,
+    operators: HttpServer,
+    owner: Arc<Owner>,
+    peers: Arc<Peers>,
+    timeline: Timeline,
+    draining: Arc<AtomicBool>,
+    drain_limit: Duration,
+    tasks: JoinSet<()>,
+}
+
+impl Entry {
+    /// Binds the ports and starts all parts.
+    ///
+    /// # Errors
+    /// Names the port that cannot be bound.
+    pub async fn start(settings: Settings, log: Arc<dyn Log>) -> Result<Self> {
+        let peers_listener = bind(settings.peers, "peers").await?;
+        let callers_listener = bind(settings.callers, "callers").await?;
+        let operators_listener = bind(settings.operators, "operators").await?;
+        let identity = Identity {
+            name: settings.name.clone(),
+            incarnation: new_incarnation(),
+            region: settings.region.clone(),
+            zone: settings.zone.clone(),
+            peer_addr: match settings.advertise {
+                Some(addr) => addr,
+                None => peers_listener.local_addr()?,
+            },
+        };
+        let secret = SharedSecret::new(&settings.secret);
+        let timeline = Timeline::new(identity.name.clone(), settings.timeline_events);
+        let agreement = Agreement::new(ledger_identity(&identity), log.clone(), timeline.clone());
+        let admissions = Admissions::new(identity.clone(), log);
+        let dispatch = Dispatch::new(identity.clone(), agreement.clone(), timeline.clone());
+        let owner = Owner::new(
+            agreement.clone(),
+            admissions.clone(),
+            dispatch.clone(),
+            timeline.clone(),
+        );
+        dispatch.bind(Arc::downgrade(&owner));
+        let dialer = Arc::new(WsDialer::new(secret.clone()));
+        let peers = Peers::new(
+            identity.clone(),
+            agreement.clone(),
+            dialer,
+            timeline.clone(),
+        );
+        let router = Router::new(agreement.clone(), owner.clone(), peers.clone());
+        let draining = Arc::new(AtomicBool::new(false));
+
+        let callers = Callers::new(
+            router,
+            agreement.clone(),
+            timeline.clone(),
+            settings.max_requests,
+        );
+        let limits = HttpLimits {
+            max_connections: settings.max_connections,
+            ..HttpLimits::default()
+        };
+        let callers = HttpServer::start(callers_listener, callers.into_router(), limits)?;
+        let operators = Operators::new(
+            identity.clone(),
+            agreement.clone(),
+            timeline.clone(),
+            Registry::new(),
+            draining.clone(),
+        );
+        let operators = HttpServer::start(
+            operators_listener,
+            operators.into_router(),
+            HttpLimits::default(),
+        )?;
+
+        let (link_tx, link_rx) = mpsc::channel(ACCEPT_QUEUE);
+        let sessions = Sessions {
+            dispatch,
+            peers: peers.clone(),
+            owner: owner.clone(),
+        };
+        let mut tasks = JoinSet::new();
+        tasks.spawn(agreement.run());
+        tasks.spawn(admissions.run());
+        tasks.spawn(owner.clone().run());
+        tasks.spawn(peers.clone().run());
+        tasks.spawn(ws::serve(peers_listener, secret, link_tx));
+        tasks.spawn(sessions.accept(link_rx));
+        log::info!(
+            entry:% = identity.name, zone:% = identity.zone, callers:% = callers.addr(),
+            operators:% = operators.addr(), peers:% = identity.peer_addr;
+            "entry started"
+        );
+        Ok(Self {
+            identity,
+            callers,
+            operators,
+            owner,
+            peers,
+            timeline,
+            draining,
+            drain_limit: settings.drain_limit,
+            tasks,
+        })
+    }
+
+    /// Returns the address of the callers' port.
+    #[must_use]
+    pub fn callers_addr(&self) -> SocketAddr {
+        self.callers.addr()
+    }
+
+    /// Returns the address of the operators' port.
+    #[must_use]
+    pub fn operators_addr(&self) -> SocketAddr {
+        self.operators.addr()
+    }
+
+    /// Returns the address of the port for agents and other entries.
+    #[must_use]
+    pub fn peers_addr(&self) -> SocketAddr {
+        self.identity.peer_addr
+    }
+
+    /// Returns the time line of this process.
+    #[must_use]
+    pub fn timeline(&self) -> &Timeline {
+        &self.timeline
+    }
+
+    /// Stops in order: hands over what it owns, lets requests in progress end, and leaves.
+    pub async fn close(mut self) {
+        self.draining.store(true, Ordering::Relaxed);
+        if timeout(self.drain_limit, self.owner.close()).await.is_err() {
+            log::warn!(entry:% = self.identity.name; "partitions left at the end of the drain limit");
+        }
+        self.callers.close(self.drain_limit).await;
+        self.peers.close().await;
+        self.operators.close(Duration::ZERO).await;
+        self.tasks.shutdown().await;
+        log::info!(entry:% = self.identity.name; "entry stopped");
+    }
+
+    /// Ends at once, as if the process were killed.
+    pub fn kill(mut self) {
+        self.tasks.abort_all();
+    }
+}
+
+/// Gives accepted sessions to the part that serves them.
+struct Sessions {
+    dispatch: Arc<Dispatch>,
+    peers: Arc<Peers>,
+    owner: Arc<Owner>,
+}
+
+impl Sessions {
+    async fn accept(self, mut links: mpsc::Receiver<Link>) {
+        let mut sessions = JoinSet::new();
+        loop {
+            tokio::select! {
+                biased;
+                Some(_) = sessions.join_next(), if !sessions.is_empty() => {}
+                link = links.recv() => match link {
+                    Some(link) => self.serve(link, &mut sessions),
+                    None => return,
+                },
+            }
+        }
+    }
+
+    fn serve(&self, mut link: Link, sessions: &mut JoinSet<()>) {
+        let dispatch = self.dispatch.clone();
+        let peers = self.peers.clone();
+        let owner = self.owner.clone();
+        sessions.spawn(async move {
+            let first = timeout(HELLO_TIMEOUT, link.rx.recv()).await;
+            let Ok(Some(Frame::Hello(hello))) = first else {
+                log::info!("session closed: no hello as first frame");
+                return;
+            };
+            match hello.role {
+                Role::Agent => dispatch.serve_agent(hello, link).await,
+                Role::Entry => peers.serve_peer(hello, link, owner).await,
+            }
+        });
+    }
+}
+
+async fn bind(addr: SocketAddr, port: &str) -> Result<TcpListener> {
+    TcpListener::bind(addr)
+        .await
+        .wrap_err_with(|| format!("cannot listen on {addr} for {port}"))
+}
+
+fn ledger_identity(identity: &Identity) -> LedgerIdentity {
+    LedgerIdentity {
+        name: identity.name.clone(),
+        incarnation: identity.incarnation,
+        region: identity.region.clone(),
+    }
+}
+
+/// Returns the microseconds since the Unix epoch, which grow from one start to the next.
+fn new_incarnation() -> Incarnation {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .ok()
+        .and_then(|d| Incarnation::try_from(d.as_micros()).ok())
+        .unwrap_or_default()
+}
--- a/crates/masticcross-entry/src/lib.rs
+++ b/crates/masticcross-entry/src/lib.rs
@@ -9,10 +9,14 @@
 
 pub mod admission;
 pub mod dispatch;
+pub mod entry;
 pub mod http;
 pub mod identity;
 pub mod owner;
 pub mod peers;
 pub mod router;
+pub mod settings;
 
+pub use entry::Entry;
 pub use identity::Identity;
+pub use settings::Settings;
--- a/crates/masticcross-http/src/body.rs
+++ b/crates/masticcross-http/src/body.rs
@@ -6,7 +6,7 @@
 use gotham::helpers::http::Body;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use masticcross_basics::Code;
-use serde::de::DeserializeOwned;
+use serde::Deserialize;
 use thiserror::Error;
 use tokio::time::timeout;
 
@@ -74,7 +74,7 @@
 ///
 /// # Errors
 /// Fails if the bytes are not JSON, not of the shape, or have something after the value.
-pub fn read_json<T: DeserializeOwned>(bytes: &[u8]) -> Result<T> {
+pub fn read_json<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Result<T> {
     let mut reader = serde_json::Deserializer::from_slice(bytes);
     let value = serde_path_to_error::deserialize(&mut reader).map_err(|e| malformed(&e))?;
     reader.end().map_err(|e| BodyError::Malformed {
