Add the platform's log in memory, with faults

Cause: entries and tests need a log to work against before any real one. Change: MemoryLog implements the Log trait on the runtime's clock, with retention, a rate limit, latencies and faults per client: slow, down, unreachable, reply lost, late append, retention cut. Conclusion: other parts can build on masticcross_standins::log.

--- a/crates/masticcross-standins/src/lib.rs
+++ b/crates/masticcross-standins/src/lib.rs
@@ -1,1 +1,15 @@
 //! Stand-ins for the platform and for backend servers. Not shipped.
+//!
+//! - [`log`]: the platform's log in memory, with faults that tests set.
+//!
+//! ```
+//! use masticcross_standins::log::{MemoryLog, MemoryLogSettings};
+//!
+//! let log = MemoryLog::new(MemoryLogSettings::default());
+//! log.faults().set_down(true);
+//! let cut_off = log.client("entry-1");
+//! log.faults().cut_off("entry-1", true);
+//! # drop(cut_off);
+//! ```
+
+pub mod log;
--- /dev/null
+++ b/crates/masticcross-standins/src/log/tests.rs
@@ -0,0 +1,169 @@
+//! Tests of the log in memory and of its faults, on a paused clock.
+
+use super::*;
+
+const WAIT: Duration = Duration::from_secs(10);
+
+fn log() -> MemoryLog {
+    MemoryLog::new(MemoryLogSettings::default())
+}
+
+async fn append(log: &MemoryLog, text: &str) -> Result<Offset> {
+    log.append("s", Arc::from(text)).await
+}
+
+async fn read_all(log: &MemoryLog) -> Vec<String> {
+    let batch = log.read("s", 0, 100, Duration::ZERO).await.expect("read");
+    batch.records.iter().map(|r| r.data.to_string()).collect()
+}
+
+/// Names test cases that run on a paused clock.
+macro_rules! cases {
+    ($($name:ident => $body:expr;)*) => {
+        $(
+            #[tokio::test(start_paused = true)]
+            async fn $name() {
+                let run: fn() -> BoxFuture<'static, ()> = || Box::pin($body);
+                run().await;
+            }
+        )*
+    };
+}
+
+cases! {
+    appends_get_offsets_in_order => async {
+        let log = log();
+        assert_eq!(append(&log, "a").await, Ok(0));
+        assert_eq!(append(&log, "b").await, Ok(1));
+        assert_eq!(read_all(&log).await, ["a", "b"]);
+        assert_eq!(log.bounds("s").await, Ok(Bounds { first: 0, next: 2 }));
+        assert_eq!(log.bounds("other").await, Ok(Bounds { first: 0, next: 0 }));
+    };
+    calls_take_their_latency => async {
+        let log = log();
+        let start = Instant::now();
+        append(&log, "a").await.expect("append");
+        assert_eq!(start.elapsed(), Duration::from_millis(5));
+        log.faults().set_slow(10.0, Duration::from_millis(7));
+        append(&log, "a").await.expect("append");
+        assert_eq!(start.elapsed(), Duration::from_millis(62));
+    };
+    waiting_read_wakes_up_with_the_append => async {
+        let log = log();
+        let reader = log.clone();
+        let read = tokio::spawn(async move { reader.read("s", 0, 10, WAIT).await });
+        sleep(Duration::from_secs(1)).await;
+        append(&log, "a").await.expect("append");
+        let batch = read.await.expect("join").expect("read");
+        assert_eq!(batch.records.len(), 1);
+    };
+    waiting_read_ends_empty => async {
+        let log = log();
+        let start = Instant::now();
+        let batch = log.read("s", 0, 10, WAIT).await.expect("read");
+        assert_eq!(batch.records.len(), 0);
+        assert!(start.elapsed() >= WAIT);
+    };
+    rate_is_limited => async {
+        let log = log();
+        let appends = (0..500).map(|_| append(&log, "a"));
+        let results = futures_util::future::join_all(appends).await;
+        let taken = results.iter().filter(|r| r.is_ok()).count();
+        assert_eq!(taken, 400);
+        let throttled = |r: &Result<Offset>| match r {
+            Err(LogError::Throttled { retry_after }) => Some(*retry_after),
+            _ => None,
+        };
+        let waits: Vec<Duration> = results.iter().filter_map(throttled).collect();
+        assert_eq!(waits.len(), 100);
+        sleep(waits[0]).await;
+        assert!(append(&log, "a").await.is_ok());
+    };
+    old_records_are_dropped => async {
+        let log = log();
+        append(&log, "a").await.expect("append");
+        sleep(Duration::from_mins(59)).await;
+        append(&log, "b").await.expect("append");
+        sleep(Duration::from_mins(2)).await;
+        let read = log.read("s", 0, 10, Duration::ZERO).await;
+        assert_eq!(read, Err(LogError::Truncated { first: 1 }));
+        assert_eq!(log.bounds("s").await, Ok(Bounds { first: 1, next: 2 }));
+    };
+    cut_drops_records_and_keeps_offsets => async {
+        let log = log();
+        for text in ["a", "b", "c"] {
+            append(&log, text).await.expect("append");
+        }
+        log.cut("s", 2);
+        let read = log.read("s", 1, 10, Duration::ZERO).await;
+        assert_eq!(read, Err(LogError::Truncated { first: 2 }));
+        log.cut("s", 9);
+        assert_eq!(append(&log, "d").await, Ok(3));
+    };
+    down_refuses_calls_and_ends_waiting_reads => async {
+        let log = log();
+        let reader = log.clone();
+        let read = tokio::spawn(async move { reader.read("s", 0, 10, WAIT).await });
+        sleep(Duration::from_secs(1)).await;
+        log.faults().set_down(true);
+        assert!(matches!(read.await.expect("join"), Err(LogError::Unavailable(_))));
+        assert!(matches!(append(&log, "a").await, Err(LogError::Unavailable(_))));
+        log.faults().clear();
+        assert_eq!(append(&log, "b").await, Ok(0));
+    };
+    one_client_is_cut_off => async {
+        let log = log();
+        let (near, far) = (log.client("near"), log.client("far"));
+        log.faults().cut_off("far", true);
+        assert_eq!(append(&near, "a").await, Ok(0));
+        assert!(matches!(append(&far, "b").await, Err(LogError::Unavailable(_))));
+        assert_eq!(read_all(&near).await, ["a"]);
+    };
+    cut_between_effect_and_reply_is_unknown => async {
+        let log = log().client("far");
+        let writer = log.clone();
+        let write = tokio::spawn(async move { append(&writer, "a").await });
+        sleep(Duration::from_millis(4)).await;
+        log.faults().cut_off("far", true);
+        assert!(matches!(write.await.expect("join"), Err(LogError::Unknown(_))));
+        assert_eq!(read_all(&log.client("near")).await, ["a"]);
+    };
+    lost_reply_takes_effect => async {
+        let log = log();
+        log.faults().lose_replies(Occurrence::Next(1), Duration::from_secs(2));
+        let start = Instant::now();
+        assert!(matches!(append(&log, "a").await, Err(LogError::Unknown(_))));
+        assert!(start.elapsed() >= Duration::from_secs(2));
+        assert_eq!(read_all(&log).await, ["a"]);
+        assert_eq!(append(&log, "b").await, Ok(1));
+    };
+    late_append_takes_effect_after_the_caller_gave_up => async {
+        let log = log();
+        let late_by = Duration::from_secs(3);
+        log.faults().delay_appends(Occurrence::Next(1), late_by, Duration::ZERO);
+        assert!(matches!(append(&log, "a").await, Err(LogError::Unknown(_))));
+        assert_eq!(append(&log, "b").await, Ok(0));
+        assert_eq!(read_all(&log).await, ["b"]);
+        sleep(late_by).await;
+        assert_eq!(read_all(&log).await, ["b", "a"]);
+    };
+    share_of_lost_replies_repeats_with_the_seed => async {
+        let mut runs = Vec::new();
+        for _ in 0..2 {
+            let log = log();
+            log.faults().lose_replies(Occurrence::Share(0.5), Duration::ZERO);
+            let mut run = Vec::new();
+            for _ in 0..50 {
+                run.push(append(&log, "a").await.is_ok());
+            }
+            runs.push(run);
+        }
+        assert_eq!(runs[0], runs[1]);
+        assert!(runs[0].contains(&true) && runs[0].contains(&false));
+    };
+    long_record_is_refused => async {
+        let log = log();
+        let text = "x".repeat(log.settings().max_record_bytes + 1);
+        assert!(matches!(append(&log, &text).await, Err(LogError::Malformed(_))));
+    };
+}
