Add the HTTP client of the log

Cause: processes reach the platform's log over HTTP; an append whose reply is missing must be told from one that had no effect.

--- a/crates/masticcross-log/src/lib.rs
+++ b/crates/masticcross-log/src/lib.rs
@@ -11,9 +11,13 @@
 //! assert_eq!(batch.end_of_read(0), 1);
 //! ```
 
+pub mod http;
+
 use std::sync::Arc;
 use std::time::Duration;
 
+pub use crate::http::{HttpLog, HttpLogSettings};
+
 use futures_util::future::BoxFuture;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
