Serve the stand-in log over HTTP

Cause: separate processes need the log on a socket. Change: program standin-log with faults set over HTTP while it runs; a small bounded HTTP server and client that the stand-ins share; the page of the protocol.

--- a/crates/masticcross-standins/src/lib.rs
+++ b/crates/masticcross-standins/src/lib.rs
@@ -1,6 +1,8 @@
 //! Stand-ins for the platform and for backend servers. Not shipped.
 //!
-//! - [`log`]: the platform's log in memory, with faults that tests set.
+//! - [`log`]: the platform's log in memory, with faults that tests set, and its HTTP server.
+//! - [`http`]: HTTP plumbing that the stand-ins share.
+//! - [`signal`]: start and stop as processes.
 //!
 //! ```
 //! use masticcross_standins::log::{MemoryLog, MemoryLogSettings};
@@ -12,4 +14,6 @@
 //! # drop(cut_off);
 //! ```
 
+pub mod http;
 pub mod log;
+pub mod signal;
--- a/crates/masticcross-standins/src/log/faults.rs
+++ b/crates/masticcross-standins/src/log/faults.rs
@@ -10,6 +10,12 @@
 use rand::{Rng, SeedableRng};
 use tokio::sync::watch;
 
+/// Largest factor on the time that a call takes.
+const MAX_SLOW_FACTOR: f64 = 1e6;
+
+/// Longest time that a call takes in addition.
+const MAX_EXTRA_DELAY: Duration = Duration::from_hours(1);
+
 /// How long a call hangs before it fails; zero for at once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Hang(pub Duration);
@@ -68,7 +74,8 @@
     /// Returns the time that a call takes which usually takes `usual`.
     #[must_use]
     pub fn latency(&self, usual: Duration) -> Duration {
-        usual.mul_f64(self.slow_factor.max(0.0)) + self.extra_delay
+        let factor = self.slow_factor.clamp(0.0, MAX_SLOW_FACTOR);
+        usual.mul_f64(factor) + self.extra_delay.min(MAX_EXTRA_DELAY)
     }
 
     /// Combines the faults of all clients with those of one.
@@ -145,15 +152,25 @@
         self.announce();
     }
 
-    /// Removes all faults.
-    pub fn clear(&self) {
+    /// Replaces all faults.
+    pub fn replace(
+        &self,
+        all: ClientFaults,
+        clients: impl IntoIterator<Item = (String, ClientFaults)>,
+    ) {
+        let clients = clients.into_iter();
         let mut table = self.inner.lock();
-        table.all = ClientFaults::default();
-        table.clients.clear();
+        table.all = all;
+        table.clients = clients.map(|(name, one)| (Name::from(name), one)).collect();
         drop(table);
         self.announce();
     }
 
+    /// Removes all faults.
+    pub fn clear(&self) {
+        self.replace(ClientFaults::default(), []);
+    }
+
     /// Makes the log refuse every call, or ends that.
     pub fn set_down(&self, down: bool) {
         self.change(|all| all.down = down);
--- a/crates/masticcross-standins/src/log/mod.rs
+++ b/crates/masticcross-standins/src/log/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod faults;
 mod rate;
+pub mod server;
 mod store;
 
 #[cfg(test)]
--- /dev/null
+++ b/crates/masticcross-standins/src/log/server/mod.rs
@@ -0,0 +1,146 @@
+//! The log in memory, served over HTTP. `docs/platform-log.md` describes the protocol.
+
+mod wire;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::future::BoxFuture;
+use http::{Method, Request, StatusCode};
+use hyper::body::Incoming;
+use masticcross_log::{Log, LogError};
+use serde_json::json;
+
+use super::MemoryLog;
+use crate::http::server::{Handler, HangUp};
+use crate::http::{self as answer, Answer};
+use wire::{FaultsDocument, ReadQuery};
+
+/// Header of a throttled reply: time to wait, in milliseconds.
+const RETRY_AFTER_MS: &str = "retry-after-ms";
+
+/// Largest accepted document of faults, in bytes.
+const MAX_FAULTS_BYTES: usize = 64 * 1024;
+
+/// Longest wait of a read.
+const MAX_WAIT: Duration = Duration::from_mins(1);
+
+type Result = std::result::Result<Answer, HangUp>;
+
+/// Serves a log.
+#[derive(Debug)]
+pub struct LogHandler {
+    log: MemoryLog,
+}
+
+impl LogHandler {
+    /// Creates a handler for a log.
+    #[must_use]
+    pub fn new(log: MemoryLog) -> Arc<Self> {
+        Arc::new(Self { log })
+    }
+
+    async fn route(&self, request: Request<Incoming>) -> Result {
+        let path = request.uri().path().to_owned();
+        let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
+        let client = self.log.client(user_agent(&request));
+        match (request.method(), parts.as_slice()) {
+            (&Method::POST, ["v1", "streams", stream, "records"]) => {
+                self.append(&client, stream, request).await
+            }
+            (&Method::GET, ["v1", "streams", stream, "records"]) => {
+                read(&client, stream, request.uri().query()).await
+            }
+            (&Method::GET, ["v1", "streams", stream]) => bounds(&client, stream).await,
+            (&Method::PUT, ["v1", "faults"]) => Ok(self.set_faults(request).await),
+            (&Method::GET, ["v1", "counts"]) => Ok(answer::json(
+                StatusCode::OK,
+                &json!({ "appended": self.log.appended() }),
+            )),
+            _ => Ok(answer::error(StatusCode::NOT_FOUND, "no such resource")),
+        }
+    }
+
+    async fn append(&self, client: &MemoryLog, stream: &str, request: Request<Incoming>) -> Result {
+        let max = self.log.settings().max_record_bytes;
+        let Ok(body) = answer::receive(request.into_body(), max).await else {
+            let detail = format!("a record has at most {max} bytes");
+            return Ok(answer::error(StatusCode::PAYLOAD_TOO_LARGE, detail));
+        };
+        let Ok(text) = std::str::from_utf8(&body) else {
+            return Ok(answer::error(
+                StatusCode::BAD_REQUEST,
+                "record is not UTF-8",
+            ));
+        };
+        match client.append(stream, Arc::from(text)).await {
+            Ok(offset) => Ok(answer::json(
+                StatusCode::CREATED,
+                &json!({ "offset": offset }),
+            )),
+            Err(e) => refuse(&e),
+        }
+    }
+
+    async fn set_faults(&self, request: Request<Incoming>) -> Answer {
+        let received = answer::receive_json(request.into_body(), MAX_FAULTS_BYTES).await;
+        let document: FaultsDocument = match received {
+            Ok(document) => document,
+            Err(e) => return answer::error(StatusCode::BAD_REQUEST, e),
+        };
+        for (stream, first) in &document.cut {
+            self.log.cut(stream, *first);
+        }
+        document.set(self.log.faults());
+        answer::empty(StatusCode::NO_CONTENT)
+    }
+}
+
+impl Handler for LogHandler {
+    fn handle(self: Arc<Self>, request: Request<Incoming>) -> BoxFuture<'static, Result> {
+        Box::pin(async move { self.route(request).await })
+    }
+}
+
+async fn read(client: &MemoryLog, stream: &str, query: Option<&str>) -> Result {
+    let query = match ReadQuery::parse(query.unwrap_or_default()) {
+        Ok(query) => query,
+        Err(e) => return Ok(answer::error(StatusCode::BAD_REQUEST, e)),
+    };
+    let wait = query.wait.min(MAX_WAIT);
+    match client.read(stream, query.from, query.limit, wait).await {
+        Ok(batch) => Ok(answer::json(StatusCode::OK, &batch)),
+        Err(e) => refuse(&e),
+    }
+}
+
+async fn bounds(client: &MemoryLog, stream: &str) -> Result {
+    match client.bounds(stream).await {
+        Ok(bounds) => Ok(answer::json(StatusCode::OK, &bounds)),
+        Err(e) => refuse(&e),
+    }
+}
+
+fn refuse(error: &LogError) -> Result {
+    match error {
+        LogError::Unknown(_) => Err(HangUp),
+        LogError::Unavailable(detail) => Ok(answer::error(StatusCode::SERVICE_UNAVAILABLE, detail)),
+        LogError::Throttled { retry_after } => Ok(throttle(*retry_after)),
+        LogError::Truncated { first } => {
+            Ok(answer::json(StatusCode::GONE, &json!({ "first": first })))
+        }
+        LogError::Malformed(detail) => Ok(answer::error(StatusCode::BAD_REQUEST, detail)),
+    }
+}
+
+fn throttle(retry_after: Duration) -> Answer {
+    let mut response = answer::error(StatusCode::TOO_MANY_REQUESTS, "rate of appends is used up");
+    let ms = u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX);
+    response.headers_mut().insert(RETRY_AFTER_MS, ms.into());
+    response
+}
+
+fn user_agent(request: &Request<Incoming>) -> &str {
+    let header = request.headers().get(http::header::USER_AGENT);
+    header.and_then(|v| v.to_str().ok()).unwrap_or_default()
+}
--- a/crates/masticcross-standins/src/log/store.rs
+++ b/crates/masticcross-standins/src/log/store.rs
@@ -8,6 +8,9 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+/// Size beyond which a read returns one record at most, in bytes.
+const MAX_BATCH_BYTES: usize = 1024 * 1024;
+
 /// All streams with their retention.
 #[derive(Debug)]
 pub struct Store {
@@ -72,8 +75,15 @@
             });
         }
         let skipped = usize::try_from(from - stream.first).unwrap_or(usize::MAX);
+        let mut bytes = 0;
         let records = (from..)
-            .zip(stream.records.iter().skip(skipped).take(limit))
+            .zip(stream.records.range(skipped.min(stream.records.len())..))
+            .take(limit)
+            .take_while(|(_, (_, data))| {
+                let is_first = bytes == 0;
+                bytes += data.len().max(1);
+                is_first || bytes <= MAX_BATCH_BYTES
+            })
             .map(|(offset, (_, data))| Record {
                 offset,
                 data: data.clone(),
--- a/crates/masticcross-standins/src/log/tests.rs
+++ b/crates/masticcross-standins/src/log/tests.rs
@@ -161,6 +161,17 @@
         assert_eq!(runs[0], runs[1]);
         assert!(runs[0].contains(&true) && runs[0].contains(&false));
     };
+    read_is_bounded_by_bytes => async {
+        let log = log();
+        let text = "x".repeat(600 * 1024);
+        for _ in 0..3 {
+            append(&log, &text).await.expect("append");
+        }
+        let batch = log.read("s", 1, 10, Duration::ZERO).await.expect("read");
+        assert_eq!(batch.records.len(), 1);
+        assert_eq!(batch.end_of_read(1), 2);
+        assert_eq!(batch.next, 3);
+    };
     long_record_is_refused => async {
         let log = log();
         let text = "x".repeat(log.settings().max_record_bytes + 1);
