--- a/crates/masticcross-standins/src/lib.rs
+++ b/crates/masticcross-standins/src/lib.rs
@@ -1,1 +1,19 @@
 //! Stand-ins for the platform and for backend servers. Not shipped.
+//!
+//! - [`log`]: the platform's log in memory, with faults that tests set, and its HTTP server.
+//! - [`http`]: HTTP plumbing that the stand-ins share.
+//! - [`signal`]: start and stop as processes.
+//!
+//! ```
+//! use masticcross_standins::log::{MemoryLog, MemoryLogSettings};
+//!
+//! let log = MemoryLog::new(MemoryLogSettings::default());
+//! log.faults().set_down(true);
+//! let cut_off = log.client("entry-1");
+//! log.faults().cut_off("entry-1", true);
+//! # drop(cut_off);
+//! ```
+
+pub mod http;
+pub mod log;
+pub mod signal;
