--- a/crates/masticcross-ledger/src/agreement.rs
+++ b/crates/masticcross-ledger/src/agreement.rs
@@ -3,16 +3,21 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use masticcross_basics::timeline::Timeline;
+use masticcross_basics::timeline::{Event, EventKind, Timeline};
 use masticcross_basics::{Epoch, Name, Partition};
-use masticcross_log::{Log, LogError, Offset};
+use masticcross_config::Times;
+use masticcross_log::{Batch, Log, LogError, Offset};
 use masticcross_wire::Incarnation;
-use parking_lot::RwLock;
+use parking_lot::{Mutex, RwLock};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use crate::append::Appender;
+use crate::fold::{StreamFold, StreamKind};
 use crate::record::PartitionsChange;
+use crate::settings::{AgreementSettings, times_or_default};
 use crate::state::AgreedState;
+use crate::{CONFIG_STREAM, PARTITIONS_STREAM, snapshot, tail};
 
 /// Result of an append.
 pub type Result<T> = std::result::Result<T, LogError>;
@@ -28,32 +33,82 @@
     pub region: Name,
 }
 
+/// The folds of both streams.
+struct Folds {
+    config: StreamFold,
+    partitions: StreamFold,
+}
+
+impl Folds {
+    fn of(&mut self, kind: StreamKind) -> &mut StreamFold {
+        match kind {
+            StreamKind::Config => &mut self.config,
+            StreamKind::Partitions => &mut self.partitions,
+        }
+    }
+}
+
+/// When each stream was provably held in full.
+#[derive(Debug, Default, Clone, Copy)]
+struct FreshAt {
+    config: Option<Instant>,
+    partitions: Option<Instant>,
+    /// Whether the view was fresh when last looked at, for the time line.
+    noted: bool,
+}
+
 /// The agreed state as this process knows it, and how old that knowledge is.
 pub struct Agreement {
     identity: LedgerIdentity,
     log: Arc<dyn Log>,
     timeline: Timeline,
+    settings: AgreementSettings,
+    partitions_stream: String,
+    folds: Mutex<Folds>,
     state: watch::Sender<Arc<AgreedState>>,
-    fresh_at: RwLock<Option<Instant>>,
+    fresh_at: RwLock<FreshAt>,
+    appender: Appender,
 }
 
 impl Agreement {
     /// Creates the fold with nothing read yet.
     #[must_use]
     pub fn new(identity: LedgerIdentity, log: Arc<dyn Log>, timeline: Timeline) -> Arc<Self> {
+        Self::with_settings(identity, log, timeline, AgreementSettings::default())
+    }
+
+    /// Creates the fold with nothing read yet, with settings.
+    #[must_use]
+    pub fn with_settings(
+        identity: LedgerIdentity,
+        log: Arc<dyn Log>,
+        timeline: Timeline,
+        settings: AgreementSettings,
+    ) -> Arc<Self> {
+        let partitions_stream = format!("{PARTITIONS_STREAM}/{}", identity.region);
         Arc::new(Self {
+            appender: Appender::new(&identity, settings.seed),
             identity,
             log,
             timeline,
+            settings,
+            partitions_stream,
+            folds: Mutex::new(Folds {
+                config: StreamFold::new(StreamKind::Config),
+                partitions: StreamFold::new(StreamKind::Partitions),
+            }),
             state: watch::Sender::new(Arc::default()),
-            fresh_at: RwLock::new(None),
+            fresh_at: RwLock::default(),
         })
     }
 
     /// Reads both streams until the process ends.
     pub async fn run(self: Arc<Self>) {
-        let _ = (&self.log, &self.timeline, &self.state);
-        std::future::pending::<()>().await;
+        tokio::join!(
+            tail::follow(&self, StreamKind::Config),
+            tail::follow(&self, StreamKind::Partitions),
+            snapshot::keep(&self),
+        );
     }
 
     /// Returns the state read last.
@@ -68,12 +123,26 @@
         self.state.subscribe()
     }
 
+    /// Returns the times of the configuration in force, or the usual ones before the first.
+    #[must_use]
+    pub fn times(&self) -> Times {
+        times_or_default(
+            self.state
+                .borrow()
+                .config
+                .document
+                .as_ref()
+                .map(|d| &d.times),
+        )
+    }
+
     /// Returns how long ago this process provably held all records of both streams; none if it
     /// never did.
     #[must_use]
     pub fn view_age(&self) -> Option<Duration> {
-        let fresh_at = (*self.fresh_at.read())?;
-        Some(Instant::now().saturating_duration_since(fresh_at))
+        let fresh_at = *self.fresh_at.read();
+        let oldest = fresh_at.config?.min(fresh_at.partitions?);
+        Some(Instant::now().saturating_duration_since(oldest))
     }
 
     /// Returns true while the view may be used to decide: it is younger than the freshness time of
@@ -98,14 +167,117 @@
         mine.then_some(ownership.epoch)
     }
 
-    /// Appends a change. A lost reply is settled by reading back, so the result is certain: the
-    /// offset of the record, or an error after which the record is not in the stream and will not
-    /// appear there.
+    /// Appends a change. A lost reply is settled by reading back, within a bounded time. Returns
+    /// the offset of the record.
     ///
     /// # Errors
-    /// Fails if the log does not take the record.
+    /// [`LogError::Unknown`] says that the record was not seen in time and may still appear in the
+    /// stream later. So a change must be harmless when it appears late: a claim names the epoch
+    /// that it replaces, the other changes name an incarnation. After any other error the record is
+    /// not in the stream and will not appear there.
     pub async fn append(&self, change: PartitionsChange) -> Result<Offset> {
-        let _ = change;
-        Err(LogError::Unavailable("not connected".to_owned()))
+        self.append_all(vec![change]).await
+    }
+
+    /// Appends several changes as one record. See [`Self::append`].
+    ///
+    /// # Errors
+    /// As [`Self::append`].
+    pub async fn append_all(&self, changes: Vec<PartitionsChange>) -> Result<Offset> {
+        let stream = &self.partitions_stream;
+        self.appender.append(&*self.log, stream, changes).await
+    }
+
+    pub(crate) fn log(&self) -> &dyn Log {
+        &*self.log
+    }
+
+    pub(crate) fn settings(&self) -> &AgreementSettings {
+        &self.settings
+    }
+
+    pub(crate) fn identity(&self) -> &LedgerIdentity {
+        &self.identity
+    }
+
+    pub(crate) fn stream_name(&self, kind: StreamKind) -> &str {
+        match kind {
+            StreamKind::Config => CONFIG_STREAM,
+            StreamKind::Partitions => &self.partitions_stream,
+        }
+    }
+
+    /// Returns the offset from which to read a stream next.
+    pub(crate) fn next(&self, kind: StreamKind) -> Offset {
+        self.folds.lock().of(kind).next()
+    }
+
+    /// Runs a function on the fold of a stream.
+    pub(crate) fn with_fold<T>(&self, kind: StreamKind, f: impl FnOnce(&StreamFold) -> T) -> T {
+        f(self.folds.lock().of(kind))
+    }
+
+    /// Learns that records before `first` are not kept any more.
+    pub(crate) fn truncated(&self, kind: StreamKind, first: Offset) {
+        self.folds.lock().of(kind).truncated(first);
+    }
+
+    /// Applies a batch that was read by a request sent at `sent`. Returns false if the reply shows
+    /// more records than could be used.
+    pub(crate) fn take(&self, kind: StreamKind, sent: Instant, batch: &Batch) -> bool {
+        let mut folds = self.folds.lock();
+        let fold = folds.of(kind);
+        fold.truncated(batch.first);
+        let before = self.state();
+        let mut taken = Vec::new();
+        if !batch.records.is_empty() {
+            let mut state = AgreedState::clone(&before);
+            taken = fold.take(&mut state, batch);
+            self.publish(&before, state);
+        }
+        let caught_up = fold.is_caught_up(batch);
+        let progressed = !batch.records.is_empty() || fold.next() >= batch.next;
+        drop(folds);
+        if caught_up {
+            self.note_fresh_at(kind, sent);
+        }
+        if kind == StreamKind::Partitions {
+            self.appender.seen(&taken);
+        }
+        progressed
+    }
+
+    fn publish(&self, before: &AgreedState, state: AgreedState) {
+        if state.config.version != before.config.version {
+            let detail = format!("version {}", state.config.version);
+            self.timeline
+                .record(Event::new(EventKind::ConfigApplied).detail(detail));
+        }
+        self.state.send_replace(Arc::new(state));
+    }
+
+    fn note_fresh_at(&self, kind: StreamKind, sent: Instant) {
+        let mut fresh_at = self.fresh_at.write();
+        let slot = match kind {
+            StreamKind::Config => &mut fresh_at.config,
+            StreamKind::Partitions => &mut fresh_at.partitions,
+        };
+        *slot = (*slot).max(Some(sent));
+    }
+
+    /// Records in the time line when the view becomes fresh or grows old.
+    pub(crate) fn note_freshness(&self) {
+        let fresh = self.is_fresh();
+        let mut fresh_at = self.fresh_at.write();
+        if fresh_at.noted == fresh {
+            return;
+        }
+        fresh_at.noted = fresh;
+        let kind = if fresh {
+            EventKind::ViewFresh
+        } else {
+            EventKind::ViewStale
+        };
+        self.timeline.record(Event::new(kind));
     }
 }
--- a/crates/masticcross-ledger/src/lib.rs
+++ b/crates/masticcross-ledger/src/lib.rs
@@ -11,11 +11,22 @@
 //! ```
 
 pub mod agreement;
+mod append;
+pub mod fold;
+pub mod publish;
 pub mod record;
+pub mod settings;
+mod snapshot;
 pub mod state;
+mod tail;
 
 pub use agreement::{Agreement, LedgerIdentity};
-pub use record::{AdmissionBatch, AdmissionRecord, ConfigChange, PartitionClaim, PartitionsChange};
+pub use publish::{ConfigHistory, PublishOutcome, publish, read_config};
+pub use record::{
+    AdmissionBatch, AdmissionRecord, ConfigChange, ConfigRecord, ConfigSnapshot, PartitionClaim,
+    PartitionsChange, PartitionsRecord, PartitionsSnapshot,
+};
+pub use settings::AgreementSettings;
 pub use state::{AgentEntry, AgreedConfig, AgreedState, Ownership};
 
 /// Stream of configuration documents.
--- a/crates/masticcross-ledger/src/record.rs
+++ b/crates/masticcross-ledger/src/record.rs
@@ -1,9 +1,72 @@
 //! Records of the streams, as JSON.
 
+use std::collections::BTreeMap;
+
 use masticcross_basics::{Digest, Epoch, JobKey, Name, Partition};
+use masticcross_log::Offset;
 use masticcross_wire::{Incarnation, Member};
 use serde::{Deserialize, Serialize};
 
+use crate::state::{AgentEntry, Ownership};
+
+/// One record of stream `config`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "record", rename_all = "kebab-case")]
+pub enum ConfigRecord {
+    /// A proposed configuration.
+    Change(ConfigChange),
+    /// The configuration in force after all records before an offset.
+    Snapshot(ConfigSnapshot),
+}
+
+/// The configuration in force after all records before an offset of stream `config`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigSnapshot {
+    /// The offset.
+    pub at: Offset,
+    /// Version in force; 0 before the first document.
+    pub version: u64,
+    /// Who published it.
+    pub author: String,
+    /// The document in TOML.
+    pub document: String,
+}
+
+/// One record of stream `partitions`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "record", rename_all = "kebab-case")]
+pub enum PartitionsRecord {
+    /// Changes that are applied in order.
+    Changes {
+        /// Unique number of the record, by which a lost reply is settled.
+        id: u64,
+        /// The changes.
+        changes: Vec<PartitionsChange>,
+    },
+    /// Members, owners and agents after all records before an offset.
+    Snapshot(PartitionsSnapshot),
+    /// Starts anew without members, owners and agents, after all earlier records were dropped.
+    /// It has an effect only if its own offset is the one named, so the first of several wins, and
+    /// a snapshot that was appended before it wins as well.
+    Reset {
+        /// The offset that the record must have.
+        at: Offset,
+    },
+}
+
+/// Members, owners and agents after all records before an offset of stream `partitions`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartitionsSnapshot {
+    /// The offset.
+    pub at: Offset,
+    /// Entries that take part, by name.
+    pub members: BTreeMap<Name, Member>,
+    /// Owners, by position of the partition.
+    pub partitions: Vec<Ownership>,
+    /// Agents that may start tasks, by worker.
+    pub agents: BTreeMap<Name, AgentEntry>,
+}
+
 /// A proposed configuration, on stream `config`. It is accepted only if `base` is the version in
 /// force at its place in the stream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -16,6 +79,10 @@
     pub author: String,
     /// The document in TOML.
     pub document: String,
+    /// Set only by the operator's tool when all earlier records were dropped: the record is then
+    /// accepted in any case if its own offset is this one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub restore_at: Option<Offset>,
 }
 
 /// A partition that is claimed, with the epoch that it must still have.
--- /dev/null
+++ b/crates/masticcross-ledger/src/snapshot.rs
@@ -0,0 +1,118 @@
+//! Snapshots, appended again and again so that the log's retention never takes the whole state.
+
+use std::time::Duration;
+
+use masticcross_log::Offset;
+use tokio::time::{Instant, sleep};
+
+use crate::agreement::{Agreement, Result};
+use crate::append::{append_patiently, to_json};
+use crate::fold::{StreamFold, StreamKind};
+use crate::record::{ConfigRecord, PartitionsRecord};
+
+/// Interval at which each process looks whether a snapshot is due.
+const LOOK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// What is known about the snapshots of one stream.
+struct Watch {
+    kind: StreamKind,
+    newest: Option<Offset>,
+    since: Instant,
+    unknown_since: Option<Instant>,
+}
+
+impl Watch {
+    fn new(kind: StreamKind) -> Self {
+        Self {
+            kind,
+            newest: None,
+            since: Instant::now(),
+            unknown_since: None,
+        }
+    }
+
+    /// Takes over the newest snapshot seen by the reader.
+    fn observe(&mut self, newest: Option<Offset>) {
+        if newest != self.newest {
+            self.newest = newest;
+            self.since = Instant::now();
+        }
+    }
+}
+
+/// Keeps snapshots of both streams until the process ends.
+pub(crate) async fn keep(agreement: &Agreement) {
+    let mut config = Watch::new(StreamKind::Config);
+    let mut partitions = Watch::new(StreamKind::Partitions);
+    loop {
+        sleep(LOOK_INTERVAL).await;
+        look(agreement, &mut config).await;
+        look(agreement, &mut partitions).await;
+    }
+}
+
+async fn look(agreement: &Agreement, watch: &mut Watch) {
+    let kind = watch.kind;
+    watch.observe(agreement.with_fold(kind, StreamFold::snapshot));
+    if !agreement.with_fold(kind, StreamFold::is_known) {
+        reset_if_lost(agreement, watch).await;
+        return;
+    }
+    watch.unknown_since = None;
+    if is_due(agreement, watch) && is_my_turn(agreement) {
+        let appended = append_snapshot(agreement, kind).await;
+        if let Err(error) = appended {
+            log::warn!(stream = agreement.stream_name(kind), error:%; "snapshot not appended");
+        }
+    }
+}
+
+fn is_due(agreement: &Agreement, watch: &Watch) -> bool {
+    let (next, pending) =
+        agreement.with_fold(watch.kind, |f| (f.next(), f.changes_since_snapshot()));
+    let settings = agreement.settings();
+    let age = watch.since.elapsed();
+    let changed = pending > 0 && age >= settings.snapshot_interval;
+    next > 0 && (changed || age >= settings.snapshot_refresh)
+}
+
+/// Returns true if this process is the member with the lowest name, or nobody is a member.
+fn is_my_turn(agreement: &Agreement) -> bool {
+    let state = agreement.state();
+    let lowest = state.members.keys().next();
+    lowest.is_none_or(|name| *name == agreement.identity().name)
+}
+
+async fn append_snapshot(agreement: &Agreement, kind: StreamKind) -> Result<Offset> {
+    let state = agreement.state();
+    let data = match kind {
+        StreamKind::Config => to_json(&ConfigRecord::Snapshot(state.config_snapshot())),
+        StreamKind::Partitions => to_json(&PartitionsRecord::Snapshot(state.partitions_snapshot())),
+    };
+    append_patiently(agreement.log(), agreement.stream_name(kind), data?).await
+}
+
+/// Starts stream `partitions` anew if all its records were dropped and no process has appended a
+/// snapshot for some time. A configuration that was lost is left to the operators.
+async fn reset_if_lost(agreement: &Agreement, watch: &mut Watch) {
+    if watch.kind != StreamKind::Partitions {
+        return;
+    }
+    let since = *watch.unknown_since.get_or_insert_with(Instant::now);
+    if since.elapsed() < agreement.settings().reset_after {
+        return;
+    }
+    let stream = agreement.stream_name(watch.kind);
+    let Ok(bounds) = agreement.log().bounds(stream).await else {
+        return;
+    };
+    if bounds.next != agreement.next(watch.kind) {
+        return;
+    }
+    let reset = to_json(&PartitionsRecord::Reset { at: bounds.next });
+    if let Ok(data) = reset {
+        let result = append_patiently(agreement.log(), stream, data).await;
+        log::warn!(stream, result:?; "stream started anew");
+    }
+    watch.unknown_since = None;
+}
--- a/crates/masticcross-ledger/src/state.rs
+++ b/crates/masticcross-ledger/src/state.rs
@@ -8,7 +8,9 @@
 use masticcross_wire::{AgentView, Incarnation, Member, PartitionOwner, ViewVersion};
 use serde::{Deserialize, Serialize};
 
-use crate::record::{ConfigChange, PartitionsChange};
+use crate::record::{
+    ConfigChange, ConfigSnapshot, PartitionClaim, PartitionsChange, PartitionsSnapshot,
+};
 
 /// The configuration in force.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -97,78 +99,152 @@
     /// Applies a record of stream `config` at its offset. Returns true if it was accepted.
     pub fn apply_config(&mut self, offset: u64, change: &ConfigChange) -> bool {
         self.version.config = offset + 1;
-        if change.base != self.config.version {
+        let restored = change.restore_at == Some(offset);
+        if change.base != self.config.version && !restored {
             return false;
         }
-        let Ok(document) = Document::parse(&change.document) else {
+        let base = change.base.max(self.config.version);
+        self.put_in_force(base + 1, &change.author, &change.document)
+    }
+
+    /// Takes over the configuration of a snapshot, unless a later one is in force. Returns true if
+    /// it was taken over.
+    pub fn adopt_config(&mut self, snapshot: &ConfigSnapshot) -> bool {
+        if snapshot.version <= self.config.version {
+            return false;
+        }
+        self.put_in_force(snapshot.version, &snapshot.author, &snapshot.document)
+    }
+
+    fn put_in_force(&mut self, version: u64, author: &str, text: &str) -> bool {
+        let Ok(document) = Document::parse(text) else {
             return false;
         };
         self.config = AgreedConfig {
-            version: change.base + 1,
-            author: change.author.clone(),
-            text: Arc::from(change.document.as_str()),
+            version,
+            author: author.to_owned(),
+            text: Arc::from(text),
             document: Some(Arc::new(document)),
         };
         true
     }
 
-    /// Applies a record of stream `partitions` at its offset.
+    /// Returns a snapshot of the configuration in force.
+    #[must_use]
+    pub fn config_snapshot(&self) -> ConfigSnapshot {
+        ConfigSnapshot {
+            at: self.version.config,
+            version: self.config.version,
+            author: self.config.author.clone(),
+            document: self.config.text.to_string(),
+        }
+    }
+
+    /// Takes over members, owners and agents of a snapshot.
+    pub fn adopt_partitions(&mut self, snapshot: &PartitionsSnapshot) {
+        self.version.partitions = snapshot.at;
+        self.members.clone_from(&snapshot.members);
+        self.partitions.clone_from(&snapshot.partitions);
+        self.partitions
+            .resize(usize::from(PARTITIONS), Ownership::default());
+        self.agents.clone_from(&snapshot.agents);
+    }
+
+    /// Returns a snapshot of members, owners and agents.
+    #[must_use]
+    pub fn partitions_snapshot(&self) -> PartitionsSnapshot {
+        PartitionsSnapshot {
+            at: self.version.partitions,
+            members: self.members.clone(),
+            partitions: self.partitions.clone(),
+            agents: self.agents.clone(),
+        }
+    }
+
+    /// Starts anew at an offset of stream `partitions`, with no members, owners and agents. Epochs
+    /// go on growing.
+    pub fn reset_partitions(&mut self, offset: u64) {
+        self.version.partitions = offset + 1;
+        self.members.clear();
+        self.agents.clear();
+        let vacant = Ownership {
+            owner: None,
+            epoch: Epoch(offset + 1),
+        };
+        self.partitions = vec![vacant; usize::from(PARTITIONS)];
+    }
+
+    /// Applies a change of stream `partitions` at its offset.
     pub fn apply_partitions(&mut self, offset: u64, change: &PartitionsChange) {
         self.version.partitions = offset + 1;
         match change {
             PartitionsChange::Join { member } => self.join(member),
-            PartitionsChange::Leave { name, incarnation } => {
-                let current = self.members.get(name).map(|m| m.incarnation);
-                if current == Some(*incarnation) {
-                    self.members.remove(name);
-                }
-            }
+            PartitionsChange::Leave { name, incarnation } => self.leave(name, *incarnation),
             PartitionsChange::Claim {
                 owner,
                 incarnation,
                 partitions,
-            } => {
-                let current = self.members.get(owner).map(|m| m.incarnation);
-                if current != Some(*incarnation) {
-                    return;
-                }
-                for claim in partitions {
-                    let index = usize::from(claim.partition.index());
-                    let Some(ownership) = self.partitions.get_mut(index) else {
-                        continue;
-                    };
-                    if ownership.epoch == claim.previous {
-                        ownership.epoch = Epoch(offset + 1);
-                        ownership.owner = Some((owner.clone(), *incarnation));
-                    }
-                }
-            }
+            } => self.claim(offset, owner, *incarnation, partitions),
             PartitionsChange::AgentUp {
                 worker,
                 incarnation,
                 zone,
-            } => {
-                let current = self.agents.get(worker).map(|a| a.incarnation);
-                if current.is_none_or(|c| c < *incarnation) {
-                    let agent = AgentEntry {
-                        incarnation: *incarnation,
-                        zone: zone.clone(),
-                    };
-                    self.agents.insert(worker.clone(), agent);
-                }
-            }
+            } => self.agent_up(worker, *incarnation, zone),
             PartitionsChange::AgentDown {
                 worker,
                 incarnation,
-            } => {
-                let current = self.agents.get(worker).map(|a| a.incarnation);
-                if current == Some(*incarnation) {
-                    self.agents.remove(worker);
-                }
+            } => self.agent_down(worker, *incarnation),
+        }
+    }
+
+    fn leave(&mut self, name: &Name, incarnation: Incarnation) {
+        let current = self.members.get(name).map(|m| m.incarnation);
+        if current == Some(incarnation) {
+            self.members.remove(name);
+        }
+    }
+
+    fn claim(
+        &mut self,
+        offset: u64,
+        owner: &Name,
+        incarnation: Incarnation,
+        claims: &[PartitionClaim],
+    ) {
+        let current = self.members.get(owner).map(|m| m.incarnation);
+        if current != Some(incarnation) {
+            return;
+        }
+        for claim in claims {
+            let index = usize::from(claim.partition.index());
+            let Some(ownership) = self.partitions.get_mut(index) else {
+                continue;
+            };
+            if ownership.epoch == claim.previous {
+                ownership.epoch = Epoch(offset + 1);
+                ownership.owner = Some((owner.clone(), incarnation));
             }
         }
     }
 
+    fn agent_up(&mut self, worker: &Name, incarnation: Incarnation, zone: &Name) {
+        let current = self.agents.get(worker).map(|a| a.incarnation);
+        if current.is_none_or(|c| c < incarnation) {
+            let agent = AgentEntry {
+                incarnation,
+                zone: zone.clone(),
+            };
+            self.agents.insert(worker.clone(), agent);
+        }
+    }
+
+    fn agent_down(&mut self, worker: &Name, incarnation: Incarnation) {
+        let current = self.agents.get(worker).map(|a| a.incarnation);
+        if current == Some(incarnation) {
+            self.agents.remove(worker);
+        }
+    }
+
     fn join(&mut self, member: &Member) {
         let current = self.members.get(&member.name).map(|m| m.incarnation);
         if current.is_none_or(|c| c < member.incarnation) {
