Say in forwarded requests how long after a heartbeat they were sent

Cause: a forwarded request may lie in a paused process or a socket for long and must not run after its sender gave it up. Change: Submit and Query carry SentAfter, counted from the last heartbeat answer on the session; the receiver thereby bounds the request's age with its own clock alone. Two frames by which entries ask each other which agents they hear. Additive; no other part builds these frames. Conclusion: the receiver can drop late requests.

--- a/crates/masticcross-wire/src/frame.rs
+++ b/crates/masticcross-wire/src/frame.rs
@@ -241,6 +241,17 @@
     pub last: bool,
 }
 
+/// When a request was sent, counted from the last heartbeat answer that its sender had got on the
+/// session. The receiver knows when it sent that answer, so it can tell how old the request is at
+/// most, without any clock of the sender.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Default)]
+pub struct SentAfter {
+    /// Number of the heartbeat answer; 0 for the answer to [`Hello`].
+    pub pong: u64,
+    /// Time from its arrival until the request was sent, in microseconds.
+    pub elapsed_us: u64,
+}
+
 /// A job sent to its owner by the entry that holds the caller's connection.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Submit {
@@ -250,6 +261,8 @@
     pub epoch: Epoch,
     /// The job.
     pub request: JobRequest,
+    /// When it was sent.
+    pub after: SentAfter,
     /// Stamp of the sender's clock.
     pub stamp: Stamp,
 }
@@ -265,6 +278,17 @@
     pub key: JobKey,
     /// True to cancel the job.
     pub cancel: bool,
+    /// When it was sent.
+    pub after: SentAfter,
+}
+
+/// An agent's start, by worker.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct AgentStart {
+    /// The worker.
+    pub worker: Name,
+    /// The agent's start.
+    pub incarnation: Incarnation,
 }
 
 /// Answer to [`Submit`] or [`Query`].
@@ -332,4 +356,13 @@
     HandoverTaken(Gather),
     /// The sender is shutting down; send it nothing new.
     Drain,
+    /// An entry asks another one which of these agents it hears.
+    WhoHears(Vec<AgentStart>),
+    /// Those of the agents asked about that the sender hears.
+    Heard {
+        /// The agents asked about.
+        asked: Vec<AgentStart>,
+        /// Those of them that the sender hears.
+        heard: Vec<AgentStart>,
+    },
 }
--- a/crates/masticcross-wire/src/lib.rs
+++ b/crates/masticcross-wire/src/lib.rs
@@ -19,9 +19,9 @@
 pub mod ws;
 
 pub use frame::{
-    AttemptReport, AttemptState, BackendInfo, Credit, Demand, Frame, Gather, Gathered, Goodbye,
-    Handover, Hello, NotStartedReason, Ping, Pong, Query, Reply, Role, StartTasks, StopTasks,
-    Submit, TaskEnded, TaskOutcome, TaskStart,
+    AgentStart, AttemptReport, AttemptState, BackendInfo, Credit, Demand, Frame, Gather, Gathered,
+    Goodbye, Handover, Hello, NotStartedReason, Ping, Pong, Query, Reply, Role, SentAfter,
+    StartTasks, StopTasks, Submit, TaskEnded, TaskOutcome, TaskStart,
 };
 pub use job::{JobAnswer, JobRecord, JobRequest, JobState, Json, Refusal, TaskRecord};
 pub use link::{Dialer, Link, LinkError};
