Dispatch: sessions of agents, fair queue, placement and limits

Cause: the entry had only the signatures of dispatch. Change: sessions (one per worker, newer replaces older), credits, weighted fair queue with an aged order of jobs, placement by speed and outstanding tasks, health of workers, quotas with reservations, the check before admission, a retry budget, registration of agents.

--- /dev/null
+++ b/crates/masticcross-entry/src/dispatch/health.rs
@@ -0,0 +1,146 @@
+//! Whether a worker may be given tasks: after failures it is taken out, and probed back.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// Failures, less the successes in between, after which a worker is taken out.
+const FAILURES_OUT: f64 = 3.0;
+
+/// Part of a failure that a success makes up for.
+const SUCCESS_WORTH: f64 = 0.25;
+
+/// Time that a worker is out before its first probe. It doubles with each failed probe.
+const FIRST_BACKOFF: Duration = Duration::from_secs(1);
+const MAX_BACKOFF: Duration = Duration::from_mins(1);
+
+/// Pause of a worker that did not start a task for a reason that passes by itself.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// Tasks that a worker may have at once at first, and the interval at which they double.
+const RAMP_START: u32 = 2;
+const RAMP_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Doublings after which a ramp limits nothing.
+const RAMP_STEPS: u32 = 12;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Standing {
+    In,
+    Out { until: Instant, backoff: Duration },
+    Probing { backoff: Duration },
+}
+
+/// Standing of one worker.
+#[derive(Debug, Clone)]
+pub struct Health {
+    standing: Standing,
+    failures: f64,
+    paused_until: Option<Instant>,
+    ramp_since: Instant,
+}
+
+impl Health {
+    /// Creates the standing of a worker that has just come.
+    #[must_use]
+    pub fn new(now: Instant) -> Self {
+        Self {
+            standing: Standing::In,
+            failures: 0.0,
+            paused_until: None,
+            ramp_since: now,
+        }
+    }
+
+    /// Lets the number of tasks grow from a few again.
+    pub fn restart_ramp(&mut self, now: Instant) {
+        self.ramp_since = now;
+    }
+
+    /// Returns how many tasks the worker may have at once now.
+    #[must_use]
+    pub fn limit(&self, now: Instant) -> u32 {
+        if self.paused_until.is_some_and(|until| now < until) {
+            return 0;
+        }
+        match self.standing {
+            Standing::Out { until, .. } if now < until => 0,
+            Standing::Out { .. } | Standing::Probing { .. } => 1,
+            Standing::In if self.failures >= 1.0 => 1,
+            Standing::In => self.ramp(now),
+        }
+    }
+
+    fn ramp(&self, now: Instant) -> u32 {
+        let since = now.saturating_duration_since(self.ramp_since);
+        let steps = since.as_millis() / RAMP_INTERVAL.as_millis();
+        match u32::try_from(steps) {
+            Ok(steps) if steps < RAMP_STEPS => RAMP_START << steps,
+            _ => u32::MAX,
+        }
+    }
+
+    /// Returns true while the limit changes by time alone.
+    #[must_use]
+    pub fn is_unsettled(&self, now: Instant) -> bool {
+        self.paused_until.is_some_and(|until| now < until)
+            || self.standing != Standing::In
+            || self.ramp(now) != u32::MAX
+    }
+
+    /// Returns true while the worker is taken out, or probed.
+    #[must_use]
+    pub fn is_out(&self) -> bool {
+        self.standing != Standing::In
+    }
+
+    /// Notes that a task was sent.
+    pub fn sent(&mut self) {
+        if let Standing::Out { backoff, .. } = self.standing {
+            self.standing = Standing::Probing { backoff };
+        }
+    }
+
+    /// Notes a task that ended well.
+    pub fn succeeded(&mut self, now: Instant) {
+        if self.is_out() {
+            self.standing = Standing::In;
+            self.failures = 0.0;
+            self.restart_ramp(now);
+        }
+        self.failures = (self.failures - SUCCESS_WORTH).max(0.0);
+    }
+
+    /// Notes a failure that counts against the worker. It is taken out only if `may_leave`.
+    pub fn failed(&mut self, now: Instant, may_leave: bool) {
+        self.failures += 1.0;
+        match self.standing {
+            Standing::Probing { backoff } => self.leave(now, (backoff * 2).min(MAX_BACKOFF)),
+            Standing::In if self.failures >= FAILURES_OUT && may_leave => {
+                self.leave(now, FIRST_BACKOFF);
+            }
+            Standing::In | Standing::Out { .. } => {}
+        }
+    }
+
+    /// Takes back failures that turned out to be the job's.
+    pub fn excuse(&mut self, failures: u32, now: Instant) {
+        self.failures = (self.failures - f64::from(failures)).max(0.0);
+        if self.is_out() && self.failures < FAILURES_OUT {
+            self.standing = Standing::In;
+            self.restart_ramp(now);
+        }
+    }
+
+    /// Notes that the worker did not start a task for a reason that passes by itself.
+    pub fn pause(&mut self, now: Instant) {
+        self.paused_until = Some(now + PAUSE);
+    }
+
+    fn leave(&mut self, now: Instant, backoff: Duration) {
+        self.standing = Standing::Out {
+            until: now + backoff,
+            backoff,
+        };
+    }
+}
--- a/crates/masticcross-entry/src/dispatch/mod.rs
+++ b/crates/masticcross-entry/src/dispatch/mod.rs
@@ -1,35 +1,51 @@
 //! Sessions of agents, the queues of waiting tasks, and placement.
-
+//!
+//! - [`serve`](Dispatch::serve_agent): the session of one agent.
+//! - [`shard`]: queue, workers and limits of one service, under one lock.
+//! - [`queue`]: which task is next.
+//! - [`workers`]: which worker gets it; [`health`] and [`runtime`] say what is known of a worker.
+//!
+//! Order of locks: a session, then the owner's tables, then a shard, then team counts. The pump
+//! asks the owner for a task only while it holds no shard.
+
+mod blame;
+mod budget;
+mod demand;
+mod health;
+mod limits;
+mod pump;
+pub mod queue;
+mod registration;
+mod reservation;
+mod runtime;
+mod serve;
+mod session;
+pub mod shard;
+mod usage;
+mod waiting;
+pub mod workers;
+
+use std::collections::BTreeMap;
 use std::sync::{Arc, OnceLock, Weak};
 
 use masticcross_basics::timeline::Timeline;
-use masticcross_basics::{Epoch, JobKey, Name, Partition, TaskIndex};
+use masticcross_basics::{Epoch, JobKey, Name, Partition};
 use masticcross_ledger::Agreement;
-use masticcross_wire::{AttemptReport, Hello, JobRequest, Link, Refusal, StopTasks};
+use masticcross_wire::{AttemptReport, Frame, Gather, JobRequest, Refusal, StopTasks};
+use parking_lot::{Mutex, RwLock};
 use tokio::time::Instant;
 
+use self::budget::RetryBudget;
+use self::pump::ServiceHandle;
+use self::queue::JobOrder;
+use self::session::Sessions;
+use self::shard::{Shard, ShardSettings};
+pub use self::usage::TeamUsage;
+pub use self::waiting::Waiting;
+use self::workers::PlacementRule;
 use crate::Identity;
 use crate::owner::{AgentId, Owner};
 
-/// A task that waits for a credit.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Waiting {
-    /// The job.
-    pub key: JobKey,
-    /// Position in the job.
-    pub index: TaskIndex,
-    /// Team that pays.
-    pub team: Name,
-    /// When the job's deadline passes.
-    pub deadline: Instant,
-    /// When the job arrived.
-    pub arrived: Instant,
-    /// Tasks of the job in all.
-    pub job_tasks: u16,
-    /// Workers that failed this task or did not start it, not to be tried first.
-    pub avoid: Vec<Name>,
-}
-
 /// Result of the check before an admission.
 pub type Result<T> = std::result::Result<T, Refusal>;
 
@@ -39,17 +55,27 @@
     agreement: Arc<Agreement>,
     timeline: Timeline,
     owner: OnceLock<Weak<Owner>>,
+    this: Weak<Dispatch>,
+    sessions: Sessions,
+    services: RwLock<BTreeMap<Name, Arc<ServiceHandle>>>,
+    usage: Arc<TeamUsage>,
+    budget: Mutex<RetryBudget>,
 }
 
 impl Dispatch {
     /// Creates empty queues.
     #[must_use]
     pub fn new(identity: Identity, agreement: Arc<Agreement>, timeline: Timeline) -> Arc<Self> {
-        Arc::new(Self {
+        Arc::new_cyclic(|this| Self {
             identity,
             agreement,
             timeline,
             owner: OnceLock::new(),
+            this: this.clone(),
+            sessions: Sessions::default(),
+            services: RwLock::default(),
+            usage: Arc::default(),
+            budget: Mutex::default(),
         })
     }
 
@@ -58,61 +84,126 @@
         let _ = self.owner.set(owner);
     }
 
-    /// Serves the session of an agent whose hello has been read, until it ends.
-    pub async fn serve_agent(self: Arc<Self>, hello: Hello, link: Link) {
-        let _ = (&self.identity, &self.agreement, &self.timeline, hello, link);
-    }
-
-    /// Checks whether a job would be taken now: rate, deadline, quota, queue.
+    /// Checks whether a job would be taken now: rate, deadline, quota, queue. Reserves room for its
+    /// tasks until they are queued, or the job is removed.
     ///
     /// # Errors
     /// Returns the refusal; nothing of the job ran.
     pub fn check(&self, request: &JobRequest) -> Result<()> {
-        let _ = request;
-        Ok(())
+        let handle = self.service_or_new(&request.key.service);
+        let state = self.agreement.state();
+        let now = Instant::now();
+        let mut shard = handle.shard.lock();
+        if let Some(document) = &state.config.document {
+            shard.apply_config(state.config.version, document, now);
+        }
+        shard.check(request, now)
     }
 
     /// Queues tasks.
     pub fn enqueue(&self, waiting: Vec<Waiting>) {
-        let _ = waiting;
+        let mut by_service: BTreeMap<Name, Vec<Waiting>> = BTreeMap::new();
+        for task in waiting {
+            let service = task.key.service.clone();
+            by_service.entry(service).or_default().push(task);
+        }
+        for (service, tasks) in by_service {
+            let handle = self.service_or_new(&service);
+            let mut shard = handle.shard.lock();
+            tasks.into_iter().for_each(|task| shard.push(task));
+            drop(shard);
+            handle.wake();
+        }
     }
 
     /// Takes all waiting tasks of a job out of the queues.
     pub fn remove(&self, key: &JobKey) {
-        let _ = key;
+        if let Some(handle) = self.service(&key.service) {
+            handle.shard.lock().remove(key);
+        }
+    }
+
+    /// Uses up one retry of a task, if the budget allows it. Beyond the budget the job has to fail.
+    #[must_use]
+    pub fn may_retry(&self) -> bool {
+        self.budget.lock().try_retry(Instant::now())
     }
 
     /// Asks all connected agents for what they know of a partition. The answers go to
     /// [`Owner::gathered`]. Returns the agents asked.
     pub fn gather(&self, partition: Partition, epoch: Epoch) -> Vec<AgentId> {
-        let _ = (partition, epoch);
-        Vec::new()
+        let sessions = self.sessions.all();
+        let asked = sessions
+            .iter()
+            .filter(|s| s.send(Frame::Gather(Gather { partition, epoch })));
+        asked.map(|s| s.agent.clone()).collect()
     }
 
-    /// Asks one agent for what it knows of a partition. Returns false if it is not connected.
+    /// Asks one agent for what it knows of a partition. Tasks go to the agent again when it has
+    /// answered. Returns false if it is not connected.
     pub fn gather_from(&self, agent: &AgentId, partition: Partition, epoch: Epoch) -> bool {
-        let _ = (agent, partition, epoch);
-        false
+        let Some(session) = self.sessions.of_agent(agent) else {
+            return false;
+        };
+        session.gather_started(partition);
+        session.send(Frame::Gather(Gather { partition, epoch }))
     }
 
     /// Counts an attempt that a new owner found at an agent as outstanding there.
     pub fn adopt(&self, agent: &AgentId, report: &AttemptReport) {
-        let _ = (agent, report);
+        if let Some(handle) = self.service(&report.key.service) {
+            let mut shard = handle.shard.lock();
+            shard.adopt(&agent.worker, report, Instant::now());
+        }
     }
 
     /// Stops attempts at an agent.
     pub fn stop(&self, agent: &AgentId, stop: StopTasks) {
-        let _ = (agent, stop);
+        if let Some(session) = self.sessions.of_agent(agent) {
+            session.send(Frame::Stop(stop));
+        }
     }
 
     /// Tells agents that jobs were answered.
     pub fn release(&self, agents: &[AgentId], keys: &[JobKey]) {
-        let _ = (agents, keys);
+        for session in agents.iter().filter_map(|a| self.sessions.of_agent(a)) {
+            session.send(Frame::Release(keys.to_vec()));
+        }
     }
 
     /// Lists the connected agents.
     #[must_use]
     pub fn connected(&self) -> Vec<AgentId> {
-        Vec::new()
+        let sessions = self.sessions.all();
+        sessions.iter().map(|s| s.agent.clone()).collect()
+    }
+
+    fn owner(&self) -> Option<Arc<Owner>> {
+        self.owner.get()?.upgrade()
+    }
+
+    fn service(&self, service: &Name) -> Option<Arc<ServiceHandle>> {
+        self.services.read().get(service).cloned()
+    }
+
+    fn service_or_new(&self, service: &Name) -> Arc<ServiceHandle> {
+        if let Some(handle) = self.service(service) {
+            return handle;
+        }
+        let mut services = self.services.write();
+        let new = || self.start_service(service);
+        services.entry(service.clone()).or_insert_with(new).clone()
+    }
+
+    fn start_service(&self, service: &Name) -> Arc<ServiceHandle> {
+        let now = Instant::now();
+        let settings = ShardSettings {
+            order: JobOrder::default(),
+            rule: PlacementRule::default(),
+            zone: self.identity.zone.clone(),
+            seed: self.identity.incarnation,
+        };
+        let shard = Shard::new(service.clone(), &settings, self.usage.clone(), now);
+        ServiceHandle::start(self.this.clone(), service.clone(), shard, now)
     }
 }
--- /dev/null
+++ b/crates/masticcross-entry/src/dispatch/queue.rs
@@ -0,0 +1,312 @@
+//! Waiting tasks of one service: weighted fair over teams, and within a team an order of jobs.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use masticcross_basics::{JobKey, Name};
+use rustc_hash::FxHashMap;
+use tokio::time::Instant;
+
+use super::Waiting;
+
+/// Service, in mean tasks of a team of weight 1, by which a team may be ahead of the one furthest
+/// behind. Within it the order of jobs decides, so that jobs are served whole.
+const LEAD_TASKS: f64 = 64.0;
+
+/// Time that a job's place moves back for each second of its remaining work. It bounds how long a
+/// large job is overtaken by later ones.
+const REMAINING_FACTOR: f64 = 8.0;
+
+/// Order of jobs within a team and, within [`LEAD_TASKS`], between teams.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum JobOrder {
+    /// By arrival.
+    FirstCome,
+    /// By deadline.
+    EarliestDeadline,
+    /// By remaining work alone. Large jobs may starve.
+    ShortestRemaining,
+    /// By arrival, moved back by the remaining work: short jobs and jobs near their end go first,
+    /// and a job that waits goes ahead of all that arrive much later.
+    #[default]
+    AgedRemaining,
+}
+
+/// Place of a job in its team's order: rank in microseconds, then arrival.
+type Rank = (i64, u64);
+
+/// Waiting tasks of one service.
+pub struct FairQueue {
+    order: JobOrder,
+    origin: Instant,
+    teams: Vec<TeamQueue>,
+    team_ids: FxHashMap<Name, usize>,
+    jobs: FxHashMap<JobKey, QueuedJob>,
+    waiting: usize,
+    virtual_time: f64,
+    concurrency: f64,
+    next_seq: u64,
+}
+
+struct TeamQueue {
+    weight: f64,
+    virtual_time: f64,
+    mean_run_secs: f64,
+    waiting: usize,
+    order: BTreeMap<Rank, JobKey>,
+}
+
+struct QueuedJob {
+    team: usize,
+    seq: u64,
+    rank: Rank,
+    tasks: VecDeque<Waiting>,
+}
+
+impl FairQueue {
+    /// Creates an empty queue. Ranks count from `origin`.
+    #[must_use]
+    pub fn new(order: JobOrder, origin: Instant) -> Self {
+        Self {
+            order,
+            origin,
+            teams: Vec::new(),
+            team_ids: FxHashMap::default(),
+            jobs: FxHashMap::default(),
+            waiting: 0,
+            virtual_time: 0.0,
+            concurrency: 1.0,
+            next_seq: 0,
+        }
+    }
+
+    /// Returns the number of waiting tasks.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.waiting
+    }
+
+    /// Returns true if no task waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.waiting == 0
+    }
+
+    /// Returns the number of waiting tasks of a team.
+    #[must_use]
+    pub fn team_len(&self, team: &Name) -> usize {
+        self.team_ids
+            .get(team)
+            .map_or(0, |id| self.teams[*id].waiting)
+    }
+
+    /// Returns the team of a job with waiting tasks.
+    #[must_use]
+    pub fn team_of(&self, key: &JobKey) -> Option<Name> {
+        Some(self.jobs.get(key)?.tasks.front()?.team.clone())
+    }
+
+    /// Returns the weight of a team.
+    #[must_use]
+    pub fn weight(&self, team: &Name) -> f64 {
+        self.team_ids
+            .get(team)
+            .map_or(1.0, |id| self.teams[*id].weight)
+    }
+
+    /// Returns the sum of the weights of the teams with waiting tasks, without one team.
+    #[must_use]
+    pub fn other_weights(&self, team: &Name) -> f64 {
+        let own = self.team_ids.get(team).copied();
+        let others = self.teams.iter().enumerate();
+        others
+            .filter(|(id, t)| Some(*id) != own && t.waiting > 0)
+            .map(|(_, t)| t.weight)
+            .sum()
+    }
+
+    /// Sets the weight of a team.
+    pub fn set_weight(&mut self, team: &Name, weight: u32) {
+        let id = self.team_id(team);
+        self.teams[id].weight = f64::from(weight.max(1));
+    }
+
+    /// Sets the mean run time of a team's tasks, by which its service is charged.
+    pub fn set_mean_run(&mut self, team: &Name, mean_run: Duration) {
+        let id = self.team_id(team);
+        self.teams[id].mean_run_secs = mean_run.as_secs_f64();
+    }
+
+    /// Sets how many tasks run at once, by which the remaining work of a job becomes a time.
+    pub fn set_concurrency(&mut self, tasks: f64) {
+        self.concurrency = tasks.max(1.0);
+    }
+
+    /// Queues a task behind the waiting tasks of its job.
+    pub fn push(&mut self, waiting: Waiting) {
+        self.insert(waiting, VecDeque::push_back);
+    }
+
+    /// Puts a task back before the waiting tasks of its job, and takes back its charge.
+    pub fn push_front(&mut self, waiting: Waiting) {
+        let team = self.team_id(&waiting.team);
+        let charge = self.teams[team].charge();
+        self.insert(waiting, VecDeque::push_front);
+        self.teams[team].virtual_time -= charge;
+    }
+
+    /// Takes the next task.
+    pub fn pop(&mut self) -> Option<Waiting> {
+        let team = self.next_team()?;
+        let key = self.teams[team].order.first_key_value()?.1.clone();
+        let job = self.jobs.get_mut(&key)?;
+        let waiting = job.tasks.pop_front()?;
+        self.waiting -= 1;
+        let queue = &mut self.teams[team];
+        queue.waiting -= 1;
+        queue.virtual_time += queue.charge();
+        self.reorder(&key);
+        Some(waiting)
+    }
+
+    /// Returns the next task without taking it.
+    #[must_use]
+    pub fn peek(&self) -> Option<&Waiting> {
+        let team = self.find_next_team()?;
+        let (_, key) = self.teams[team].order.first_key_value()?;
+        self.jobs.get(key)?.tasks.front()
+    }
+
+    /// Takes out all waiting tasks of a job and returns how many there were.
+    pub fn remove(&mut self, key: &JobKey) -> usize {
+        let Some(job) = self.jobs.remove(key) else {
+            return 0;
+        };
+        let team = &mut self.teams[job.team];
+        team.order.remove(&job.rank);
+        team.waiting -= job.tasks.len();
+        self.waiting -= job.tasks.len();
+        job.tasks.len()
+    }
+
+    fn insert(&mut self, waiting: Waiting, place: fn(&mut VecDeque<Waiting>, Waiting)) {
+        let team = self.team_id(&waiting.team);
+        let key = waiting.key.clone();
+        if self.teams[team].waiting == 0 {
+            self.catch_up(team);
+        }
+        self.waiting += 1;
+        self.teams[team].waiting += 1;
+        let next_seq = &mut self.next_seq;
+        let job = self.jobs.entry(key.clone()).or_insert_with(|| {
+            *next_seq += 1;
+            QueuedJob {
+                team,
+                seq: *next_seq,
+                rank: (i64::MAX, *next_seq),
+                tasks: VecDeque::new(),
+            }
+        });
+        place(&mut job.tasks, waiting);
+        self.reorder(&key);
+    }
+
+    /// Lets a team that had nothing waiting start level with the others: unused share is not saved.
+    fn catch_up(&mut self, team: usize) {
+        let queue = &mut self.teams[team];
+        queue.virtual_time = queue.virtual_time.max(self.virtual_time);
+    }
+
+    fn next_team(&mut self) -> Option<usize> {
+        let team = self.find_next_team()?;
+        self.virtual_time = self.virtual_time.max(self.least_virtual_time());
+        Some(team)
+    }
+
+    fn find_next_team(&self) -> Option<usize> {
+        let least = self.least_virtual_time();
+        let backlogged = self.teams.iter().enumerate().filter(|(_, t)| t.waiting > 0);
+        backlogged
+            .filter(|(_, t)| t.virtual_time <= least + LEAD_TASKS * t.mean_run_secs)
+            .filter_map(|(id, t)| Some((t.order.first_key_value()?.0, id)))
+            .min()
+            .map(|(_, id)| id)
+    }
+
+    fn least_virtual_time(&self) -> f64 {
+        let backlogged = self.teams.iter().filter(|t| t.waiting > 0);
+        backlogged
+            .map(|t| t.virtual_time)
+            .fold(f64::INFINITY, f64::min)
+    }
+
+    /// Moves a job to its place after its waiting tasks changed, and drops it without any.
+    fn reorder(&mut self, key: &JobKey) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        let team = &mut self.teams[job.team];
+        let Some(first) = job.tasks.front() else {
+            team.order.remove(&job.rank);
+            self.jobs.remove(key);
+            return;
+        };
+        let remaining = team.remaining_micros(job.tasks.len(), self.concurrency);
+        let arrived = micros_after(self.origin, first.arrived);
+        let rank = match self.order {
+            JobOrder::FirstCome => arrived,
+            JobOrder::EarliestDeadline => micros_after(self.origin, first.deadline),
+            JobOrder::ShortestRemaining => remaining,
+            JobOrder::AgedRemaining => arrived.saturating_add(remaining),
+        };
+        let place = (rank, job.seq);
+        if job.rank != place || !team.order.contains_key(&place) {
+            team.order.remove(&job.rank);
+            team.order.insert(place, key.clone());
+            job.rank = place;
+        }
+    }
+
+    fn team_id(&mut self, team: &Name) -> usize {
+        if let Some(id) = self.team_ids.get(team) {
+            return *id;
+        }
+        let id = self.teams.len();
+        self.teams.push(TeamQueue::new(self.virtual_time));
+        self.team_ids.insert(team.clone(), id);
+        id
+    }
+}
+
+impl TeamQueue {
+    fn new(virtual_time: f64) -> Self {
+        Self {
+            weight: 1.0,
+            virtual_time,
+            mean_run_secs: 0.1,
+            waiting: 0,
+            order: BTreeMap::new(),
+        }
+    }
+
+    fn charge(&self) -> f64 {
+        self.mean_run_secs / self.weight
+    }
+
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_precision_loss,
+        reason = "a rank needs no more than microseconds"
+    )]
+    fn remaining_micros(&self, tasks: usize, concurrency: f64) -> i64 {
+        (tasks as f64 * self.mean_run_secs / concurrency * REMAINING_FACTOR * 1e6) as i64
+    }
+}
+
+fn micros_after(origin: Instant, at: Instant) -> i64 {
+    let micros = |d: Duration| i64::try_from(d.as_micros()).unwrap_or(i64::MAX);
+    match at.checked_duration_since(origin) {
+        Some(after) => micros(after),
+        None => -micros(origin.saturating_duration_since(at)),
+    }
+}
--- /dev/null
+++ b/crates/masticcross-entry/src/dispatch/serve.rs
@@ -0,0 +1,259 @@
+//! Serves the session of one agent: heartbeats, credits, ends of tasks.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use masticcross_basics::{Code, Name};
+use masticcross_config::Times;
+use masticcross_wire::{
+    BackendInfo, Credit, Frame, Hello, Link, PROTOCOL_VERSION, Ping, Pong, TaskEnded,
+};
+use tokio::sync::mpsc;
+use tokio::time::{Instant, timeout};
+
+use super::Dispatch;
+use super::session::{Opening, Session};
+use super::workers::Connected;
+
+impl Dispatch {
+    /// Serves the session of an agent whose hello has been read, until it ends.
+    pub async fn serve_agent(self: Arc<Self>, hello: Hello, link: Link) {
+        let Link { tx, rx } = link;
+        let session = Session::new(&hello, tx);
+        session.send(Frame::Hello(self.identity.hello(hello.session)));
+        if hello.protocol != PROTOCOL_VERSION {
+            session.send_goodbye(Code::ProtocolVersion);
+            return;
+        }
+        if !self.open_session(&session).await {
+            session.send_goodbye(Code::Superseded);
+            return;
+        }
+        let registration = tokio::spawn(super::registration::register(
+            Arc::downgrade(&self),
+            session.clone(),
+        ));
+        if let Some(owner) = self.owner() {
+            owner.agent_connected(&session.agent);
+        }
+        let code = self.handle_frames(&session, rx).await;
+        registration.abort();
+        self.end_session(&session);
+        if let Some(code) = code {
+            session.send_goodbye(code);
+        }
+    }
+
+    /// Makes a session the worker's only one. Returns false if the worker has a newer one.
+    async fn open_session(&self, session: &Arc<Session>) -> bool {
+        loop {
+            match self.sessions.open(session) {
+                Opening::Opened => return true,
+                Opening::Superseded => return false,
+                Opening::Replaces(older) => {
+                    older.close(Code::Superseded);
+                    self.end_session(&older);
+                    tokio::task::yield_now().await;
+                }
+            }
+        }
+    }
+
+    /// Ends a session. No frame of it is handled after this.
+    fn end_session(&self, session: &Arc<Session>) {
+        if !session.end() {
+            return;
+        }
+        let now = Instant::now();
+        for service in session.services() {
+            if let Some(handle) = self.service(&service) {
+                let mut shard = handle.shard.lock();
+                shard.disconnect(&session.agent.worker, session.number, now);
+            }
+        }
+        self.sessions.remove(session);
+        if let Some(owner) = self.owner() {
+            owner.agent_disconnected(&session.agent);
+        }
+    }
+
+    /// Handles frames until the session ends. Returns the code for the agent, if there is one.
+    async fn handle_frames(
+        &self,
+        session: &Session,
+        mut rx: mpsc::Receiver<Frame>,
+    ) -> Option<Code> {
+        let mut closing = session.closing();
+        loop {
+            let frame = tokio::select! {
+                biased;
+                code = closing.wait_for(Option::is_some) => return code.ok().and_then(|c| *c),
+                frame = timeout(self.suspect_after(), rx.recv()) => frame,
+            };
+            let frame = match frame {
+                Ok(Some(frame)) => frame,
+                Ok(None) => return None,
+                Err(_) => return Some(Code::SessionTimeout),
+            };
+            let open = session.lock_open();
+            if !*open {
+                return Some(Code::Superseded);
+            }
+            match self.handle(session, frame) {
+                Handled::Continue => {}
+                Handled::Close(code) => return code,
+            }
+        }
+    }
+
+    fn handle(&self, session: &Session, frame: Frame) -> Handled {
+        match frame {
+            Frame::Ping(ping) => self.pong(session, &ping),
+            Frame::Backends(backends) => self.replace_backends(session, &backends),
+            Frame::Credit(credit) => self.credit(session, &credit),
+            Frame::Ended(ended) => self.task_ended(session, ended),
+            Frame::Gathered(gathered) => {
+                if gathered.last {
+                    session.gather_ended(gathered.partition);
+                    self.resume(session);
+                }
+                if let Some(owner) = self.owner() {
+                    owner.gathered(&session.agent, gathered);
+                }
+            }
+            Frame::Drain => self.drain(session),
+            Frame::Goodbye(_) => return Handled::Close(None),
+            Frame::Hello(_)
+            | Frame::Pong(_)
+            | Frame::Demand(_)
+            | Frame::Start(_)
+            | Frame::Stop(_)
+            | Frame::Release(_)
+            | Frame::Gather(_)
+            | Frame::Submit(_)
+            | Frame::Query(_)
+            | Frame::Reply(_)
+            | Frame::Handover(_)
+            | Frame::HandoverTaken(_) => return Handled::Close(Some(Code::MalformedFrame)),
+        }
+        Handled::Continue
+    }
+
+    fn pong(&self, session: &Session, ping: &Ping) {
+        self.timeline.observe(ping.stamp);
+        // The age is taken before the state, so that it is never too low for it.
+        let age = self.agreement.view_age();
+        let state = self.agreement.state();
+        let agent = &session.agent;
+        let is_known = ping.known == state.version;
+        let view =
+            (!is_known).then(|| Box::new(state.agent_view(&agent.worker, agent.incarnation)));
+        session.send(Frame::Pong(Pong {
+            nonce: ping.nonce,
+            age_ms: age.map(millis_rounded_up),
+            view,
+            stamp: self.timeline.stamp(),
+        }));
+        self.resume(session);
+    }
+
+    /// Lets tasks go to an agent again, after its queue or its answers held them up.
+    fn resume(&self, session: &Session) {
+        if session.is_backlogged() || session.is_gathering() {
+            return;
+        }
+        for service in session.services() {
+            if let Some(handle) = self.service(&service) {
+                let mut shard = handle.shard.lock();
+                shard.hold(&session.agent.worker, false, Instant::now());
+                drop(shard);
+                handle.wake();
+            }
+        }
+    }
+
+    fn replace_backends(&self, session: &Session, backends: &[BackendInfo]) {
+        let mut slots: BTreeMap<Name, u32> = BTreeMap::new();
+        for backend in backends {
+            *slots.entry(backend.service.clone()).or_default() += u32::from(backend.slots);
+        }
+        let gone = session.replace_services(slots.keys().cloned().collect());
+        for service in gone {
+            self.connect(session, &service, 0);
+        }
+        for (service, slots) in slots {
+            self.connect(session, &service, slots);
+        }
+    }
+
+    fn connect(&self, session: &Session, service: &Name, slots: u32) {
+        let connected = Connected {
+            worker: session.agent.worker.clone(),
+            incarnation: session.agent.incarnation,
+            zone: session.zone.clone(),
+            number: session.number,
+            slots,
+        };
+        let handle = self.service_or_new(service);
+        handle.shard.lock().connect(&connected, Instant::now());
+        handle.wake();
+    }
+
+    fn credit(&self, session: &Session, credit: &Credit) {
+        let Some(handle) = self.service(&credit.service) else {
+            return;
+        };
+        let worker = &session.agent.worker;
+        let now = Instant::now();
+        handle
+            .shard
+            .lock()
+            .credit(worker, session.number, credit.total, now);
+        handle.wake();
+    }
+
+    fn task_ended(&self, session: &Session, ended: TaskEnded) {
+        self.timeline.observe(ended.stamp);
+        let handle = self.service(&ended.key.service);
+        if let Some(handle) = &handle {
+            let mut shard = handle.shard.lock();
+            shard.ended(&session.agent.worker, &ended, Instant::now());
+        }
+        if let Some(owner) = self.owner() {
+            owner.ended(&session.agent, ended);
+        }
+        if let Some(handle) = handle {
+            handle.wake();
+        }
+    }
+
+    fn drain(&self, session: &Session) {
+        for service in session.services() {
+            if let Some(handle) = self.service(&service) {
+                let mut shard = handle.shard.lock();
+                shard.drain(&session.agent.worker, session.number, Instant::now());
+            }
+        }
+    }
+
+    fn suspect_after(&self) -> Duration {
+        let state = self.agreement.state();
+        let document = state.config.document.as_ref();
+        document.map_or_else(
+            || Times::default().suspect_after(),
+            |d| d.times.suspect_after(),
+        )
+    }
+}
+
+/// What a frame means for its session.
+enum Handled {
+    Continue,
+    Close(Option<Code>),
+}
+
+fn millis_rounded_up(age: Duration) -> u32 {
+    let millis = age.as_micros().div_ceil(1000);
+    u32::try_from(millis).unwrap_or(u32::MAX)
+}
