--- a/crates/masticcross-entry/src/dispatch/serve.rs
+++ b/crates/masticcross-entry/src/dispatch/serve.rs
@@ -135,7 +135,9 @@
             | Frame::Query(_)
             | Frame::Reply(_)
             | Frame::Handover(_)
-            | Frame::HandoverTaken(_) => return Handled::Close(Some(Code::MalformedFrame)),
+            | Frame::HandoverTaken(_)
+            | Frame::WhoHears(_)
+            | Frame::Heard { .. } => return Handled::Close(Some(Code::MalformedFrame)),
         }
         Handled::Continue
     }
