Test the HTTP server loop against raw connections

Cause: limits and the stop that cuts nothing had no test. Change: seven tests over loopback: one connection too many, slow headers, header flood, large and slow bodies, stop during a request, panic in a handler.

--- /dev/null
+++ b/crates/masticcross-http/tests/server.rs
@@ -0,0 +1,191 @@
+//! The server loop against raw connections over loopback.
+
+use std::time::Duration;
+
+use gotham::handler::HandlerResult;
+use gotham::helpers::http::Body;
+use gotham::helpers::http::response::create_response;
+use gotham::mime::TEXT_PLAIN;
+use gotham::prelude::*;
+use gotham::router::builder::build_simple_router;
+use gotham::state::State;
+use http::StatusCode;
+use masticcross_http::{HttpLimits, HttpServer, Problem, read_body};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+const BODY_LIMIT_BYTES: usize = 16;
+const BODY_TIMEOUT: Duration = Duration::from_millis(50);
+const CLOSE_LIMIT: Duration = Duration::from_secs(20);
+
+async fn hello(state: State) -> HandlerResult {
+    let resp = create_response(&state, StatusCode::OK, TEXT_PLAIN, "hello");
+    Ok((state, resp))
+}
+
+async fn echo(mut state: State) -> HandlerResult {
+    let body = Body::take_from(&mut state);
+    let resp = match read_body(body, BODY_LIMIT_BYTES, BODY_TIMEOUT).await {
+        Ok(bytes) => create_response(&state, StatusCode::OK, TEXT_PLAIN, bytes),
+        Err(error) => Problem::from(error).to_response(),
+    };
+    Ok((state, resp))
+}
+
+async fn slow(state: State) -> HandlerResult {
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    hello(state).await
+}
+
+async fn broken(state: State) -> HandlerResult {
+    assert!(
+        state.try_borrow::<gotham::cookie::CookieJar>().is_some(),
+        "a handler that panics"
+    );
+    hello(state).await
+}
+
+async fn start(limits: HttpLimits) -> HttpServer {
+    let router = build_simple_router(|route| {
+        route.get("/hello").to_async(hello);
+        route.post("/echo").to_async(echo);
+        route.get("/slow").to_async(slow);
+        route.get("/broken").to_async(broken);
+    });
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    HttpServer::start(listener, router, limits).expect("a bound listener")
+}
+
+async fn connect(server: &HttpServer) -> TcpStream {
+    TcpStream::connect(server.addr())
+        .await
+        .expect("the server listens")
+}
+
+/// Sends text and reads until the server closes.
+async fn exchange(server: &HttpServer, text: &str) -> String {
+    let mut stream = connect(server).await;
+    stream.write_all(text.as_bytes()).await.expect("sent");
+    read_all(&mut stream).await
+}
+
+async fn read_all(stream: &mut TcpStream) -> String {
+    let mut reply = Vec::new();
+    // A reset after the answer still leaves what was read.
+    let _ = stream.read_to_end(&mut reply).await;
+    String::from_utf8_lossy(&reply).into_owned()
+}
+
+fn get(path: &str) -> String {
+    format!("GET {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n")
+}
+
+#[tokio::test]
+async fn refuses_one_connection_over_the_limit_and_recovers() {
+    let limits = HttpLimits {
+        max_connections: 1,
+        ..HttpLimits::default()
+    };
+    let server = start(limits).await;
+    let mut first = connect(&server).await;
+    first
+        .write_all(b"GET /hello HTTP/1.1\r\nhost: x\r\n\r\n")
+        .await
+        .expect("sent");
+    let mut buf = [0; 256];
+    let read = first.read(&mut buf).await.expect("an answer");
+    assert!(buf[..read].starts_with(b"HTTP/1.1 200"));
+
+    let refused = exchange(&server, "").await;
+    assert!(refused.starts_with("HTTP/1.1 503"), "{refused}");
+    assert!(refused.contains("\"code\":2008"), "{refused}");
+
+    drop(first);
+    let mut answer = String::new();
+    while !answer.starts_with("HTTP/1.1 200") {
+        answer = exchange(&server, &get("/hello")).await;
+    }
+    server.close(CLOSE_LIMIT).await;
+}
+
+#[tokio::test]
+async fn closes_a_connection_whose_headers_do_not_arrive() {
+    let limits = HttpLimits {
+        header_timeout: Duration::from_millis(50),
+        ..HttpLimits::default()
+    };
+    let server = start(limits).await;
+    let reply = exchange(&server, "GET /hello HTTP/1.1\r\nhost: x\r\n").await;
+    assert!(!reply.starts_with("HTTP/1.1 200"), "{reply}");
+    server.close(CLOSE_LIMIT).await;
+}
+
+#[tokio::test]
+async fn refuses_a_flood_of_headers() {
+    let server = start(HttpLimits::default()).await;
+    let headers: String = (0..1_000).map(|i| format!("x-{i}: 1\r\n")).collect();
+    let text = format!("GET /hello HTTP/1.1\r\nhost: x\r\n{headers}\r\n");
+    let reply = exchange(&server, &text).await;
+    assert!(reply.starts_with("HTTP/1.1 431"), "{reply}");
+    assert!(
+        exchange(&server, &get("/hello"))
+            .await
+            .starts_with("HTTP/1.1 200")
+    );
+    server.close(CLOSE_LIMIT).await;
+}
+
+#[tokio::test]
+async fn refuses_a_body_over_the_limit() {
+    let server = start(HttpLimits::default()).await;
+    let text = "POST /echo HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: 17\r\n\r\n\
+                12345678901234567";
+    let reply = exchange(&server, text).await;
+    assert!(reply.contains("\"code\":1005"), "{reply}");
+    server.close(CLOSE_LIMIT).await;
+}
+
+#[tokio::test]
+async fn refuses_a_body_that_does_not_arrive() {
+    let server = start(HttpLimits::default()).await;
+    let text =
+        "POST /echo HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: 9\r\n\r\n123";
+    let reply = exchange(&server, text).await;
+    assert!(reply.contains("\"code\":1011"), "{reply}");
+    server.close(CLOSE_LIMIT).await;
+}
+
+#[tokio::test]
+async fn a_stop_cuts_no_request_in_progress() {
+    let server = start(HttpLimits::default()).await;
+    let mut stream = connect(&server).await;
+    stream
+        .write_all(get("/slow").as_bytes())
+        .await
+        .expect("sent");
+    // The answer to another connection's request shows that the first one was accepted before.
+    assert!(
+        exchange(&server, &get("/hello"))
+            .await
+            .starts_with("HTTP/1.1 200")
+    );
+    let (reply, ()) = tokio::join!(read_all(&mut stream), server.close(CLOSE_LIMIT));
+    assert!(reply.starts_with("HTTP/1.1 200"), "{reply}");
+    assert!(reply.ends_with("hello"), "{reply}");
+}
+
+#[tokio::test]
+async fn a_panic_in_a_handler_stops_nobody_else() {
+    let server = start(HttpLimits::default()).await;
+    assert!(
+        exchange(&server, &get("/broken"))
+            .await
+            .starts_with("HTTP/1.1 500")
+    );
+    assert!(
+        exchange(&server, &get("/hello"))
+            .await
+            .starts_with("HTTP/1.1 200")
+    );
+    server.close(CLOSE_LIMIT).await;
+}
