Add the reason AlreadyKnown to attempts that did not start

Cause: a new owner may place a task again whose earlier attempt waits, runs or is done at the same agent. Change: one more variant of NotStartedReason; the earlier attempt's end is sent along with it. Conclusion: additive; no other part matches on all reasons yet.

--- a/crates/masticcross-wire/src/frame.rs
+++ b/crates/masticcross-wire/src/frame.rs
@@ -160,6 +160,9 @@
     DeadlinePassed,
     /// The backend server could not be connected to.
     ConnectFailed,
+    /// An earlier attempt of the task waits, runs or is done here, and its end is sent as well; or
+    /// the attempt is older than what the agent remembers.
+    AlreadyKnown,
 }
 
 /// How an attempt ended.
