Bring up the agent: decisions, sessions, backend servers, ports

Change: a core without waiting (view, attempts, credits, queue, backend servers) under one lock for the decisions, one for the view and one for the sessions; around it sessions with back-off and heartbeats, the HTTP client towards backend servers, two gotham ports, settings and the stop in order.

--- /dev/null
+++ b/crates/masticcross-agent/src/agent.rs
@@ -0,0 +1,186 @@
+//! The running agent: brings decisions together with sessions, backend servers and the clock.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use masticcross_basics::Code;
+use masticcross_basics::timeline::Timeline;
+use masticcross_wire::Dialer;
+use tokio::sync::watch;
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
+
+use crate::backend::{BackendClient, RunOutcome};
+use crate::connector;
+use crate::core::starts::Run;
+use crate::core::{AgentCore, SessionId, SharedCore, Stats};
+use crate::metrics::Metrics;
+use crate::{Announcement, Settings};
+
+/// Interval at which time limits are looked at.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Interval at which a closing agent looks whether it is done.
+const CLOSE_POLL: Duration = Duration::from_millis(20);
+
+/// Time for the last frames to leave after the sessions were told to end.
+const GOODBYE_TIME: Duration = Duration::from_millis(100);
+
+/// Longest wait for the answer of a stopped task.
+const STOP_LIMIT: Duration = Duration::from_secs(5);
+
+/// Result of the set-up of an agent.
+pub type Result<T> = crate::metrics::Result<T>;
+
+/// One agent.
+pub struct Agent {
+    pub(crate) settings: Settings,
+    pub(crate) core: SharedCore,
+    pub(crate) dialer: Arc<dyn Dialer>,
+    client: Arc<dyn BackendClient>,
+    next_session: AtomicU64,
+    pub(crate) closing: watch::Sender<bool>,
+}
+
+impl Agent {
+    /// Creates an agent that is not connected yet.
+    ///
+    /// # Errors
+    /// Fails if the metrics cannot be registered.
+    pub fn new(
+        settings: Settings,
+        dialer: Arc<dyn Dialer>,
+        client: Arc<dyn BackendClient>,
+        timeline: Timeline,
+    ) -> Result<Arc<Self>> {
+        let core = AgentCore::new(
+            settings.identity(),
+            settings.limits.clone(),
+            timeline,
+            Metrics::new()?,
+        );
+        Ok(Arc::new(Self {
+            settings,
+            core: Arc::new(core),
+            dialer,
+            client,
+            next_session: AtomicU64::new(1),
+            closing: watch::Sender::new(false),
+        }))
+    }
+
+    /// Keeps sessions to the entries and runs tasks until [`Agent::close`].
+    pub async fn run(self: Arc<Self>) {
+        let mut closing = self.closing.subscribe();
+        tokio::select! {
+            biased;
+            _ = closing.wait_for(|closing| *closing) => {}
+            () = connector::keep_sessions(self.clone()) => {}
+            () = self.keep_time() => {}
+        }
+    }
+
+    /// Stops in order: takes nothing new, lets running tasks end and their results be released
+    /// within the limit of the settings, and ends the sessions.
+    pub async fn close(self: Arc<Self>) {
+        self.core.drain(Instant::now());
+        if timeout(self.settings.drain_limit, self.until_idle())
+            .await
+            .is_err()
+        {
+            let stats = self.stats();
+            log::warn!(running = stats.running, unreleased = stats.unreleased;
+                "time for the stop is over");
+        }
+        self.core.sessions().close_all(Code::ShuttingDown);
+        sleep(GOODBYE_TIME).await;
+        self.closing.send_replace(true);
+    }
+
+    /// Adds or renews a backend server.
+    pub fn announce(self: &Arc<Self>, announcement: Announcement) {
+        let runs = self.core.announce(announcement, Instant::now());
+        self.perform(runs);
+    }
+
+    /// Marks a backend server as left. Returns false if it is not known.
+    #[must_use]
+    pub fn withdraw(&self, name: &str) -> bool {
+        self.core.withdraw(name, Instant::now())
+    }
+
+    /// Returns figures of the present moment.
+    #[must_use]
+    pub fn stats(&self) -> Stats {
+        self.core.stats(Instant::now())
+    }
+
+    /// Returns the decisions' part, for observers.
+    #[must_use]
+    pub fn core(&self) -> &AgentCore {
+        &self.core
+    }
+
+    /// Starts the requests to backend servers that were decided on.
+    pub(crate) fn perform(self: &Arc<Self>, runs: Vec<Run>) {
+        for run in runs {
+            tokio::spawn(self.clone().run_task(run));
+        }
+    }
+
+    /// Returns the number of the next session. A later start of the process counts from one again,
+    /// as its incarnation is larger.
+    pub(crate) fn next_session(&self) -> SessionId {
+        self.next_session.fetch_add(1, Ordering::Relaxed)
+    }
+
+    async fn run_task(self: Arc<Self>, run: Run) {
+        let begun = Instant::now();
+        let id = run.id;
+        let outcome = self.run_or_stop(run).await;
+        let now = Instant::now();
+        let next = self.core.finished(id, outcome, now - begun, now);
+        self.perform(next);
+    }
+
+    async fn run_or_stop(&self, run: Run) -> RunOutcome {
+        let mut request = self.client.run(run.backend.clone(), run.body);
+        let mut stop = run.stop;
+        tokio::select! {
+            biased;
+            outcome = &mut request => return outcome,
+            _ = stop.wait_for(|stop| *stop) => {}
+        }
+        let stopped = async {
+            self.client.stop(run.backend, run.id).await;
+            std::future::pending::<()>().await;
+        };
+        tokio::select! {
+            biased;
+            outcome = &mut request => outcome,
+            () = sleep(STOP_LIMIT) => RunOutcome::Stopped,
+            () = stopped => RunOutcome::Stopped,
+        }
+    }
+
+    async fn keep_time(self: &Arc<Self>) {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            let runs = self.core.tick(Instant::now());
+            self.perform(runs);
+        }
+    }
+
+    async fn until_idle(&self) {
+        loop {
+            let stats = self.stats();
+            let done = stats.running == 0 && (stats.unreleased == 0 || stats.sessions == 0);
+            if done {
+                return;
+            }
+            sleep(CLOSE_POLL).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/masticcross-agent/src/announcement.rs
@@ -0,0 +1,126 @@
+//! What a backend server says of itself.
+
+use std::time::Duration;
+
+use http::Uri;
+use masticcross_basics::Name;
+use masticcross_basics::name::check_name;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// Shortest accepted time to live, in milliseconds.
+const MIN_TTL_MS: u64 = 100;
+
+/// Longest accepted time to live, in milliseconds.
+const MAX_TTL_MS: u64 = 600_000;
+
+/// Most slots or connections of one backend server.
+const MAX_SLOTS: u16 = 4_096;
+
+/// Why an announcement was refused.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("field {field:?} {reason}")]
+pub struct AnnouncementError {
+    /// The field.
+    pub field: &'static str,
+    /// What is wrong, and what is accepted.
+    pub reason: String,
+}
+
+/// Result of the check of an announcement.
+pub type Result<T> = std::result::Result<T, AnnouncementError>;
+
+/// The body of an announcement as it arrives.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct AnnouncementBody {
+    /// Service that the backend server serves.
+    pub service: String,
+    /// Where it accepts tasks.
+    pub url: String,
+    /// Tasks that it runs at once.
+    pub slots: u16,
+    /// Connections that it accepts at once.
+    pub connections: u16,
+    /// Time until the announcement ends unless renewed, in milliseconds.
+    pub ttl_ms: u64,
+}
+
+/// A checked announcement.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Announcement {
+    /// Name of the backend server.
+    pub name: Name,
+    /// Service that it serves.
+    pub service: Name,
+    /// Where it accepts tasks, without a slash at the end.
+    pub url: Name,
+    /// Tasks that it runs at once.
+    pub slots: u16,
+    /// Connections that it accepts at once.
+    pub connections: u16,
+    /// Time until the announcement ends unless renewed.
+    pub ttl: Duration,
+}
+
+impl Announcement {
+    /// Checks a name and a body.
+    ///
+    /// # Errors
+    /// Names the first field that is wrong, and the reason.
+    pub fn check(name: &str, body: &AnnouncementBody) -> Result<Self> {
+        Ok(Self {
+            name: checked_name("name", name)?,
+            service: checked_name("service", &body.service)?,
+            url: checked_url(&body.url)?,
+            slots: checked_count("slots", body.slots)?,
+            connections: checked_count("connections", body.connections)?,
+            ttl: checked_ttl(body.ttl_ms)?,
+        })
+    }
+}
+
+fn checked_name(field: &'static str, text: &str) -> Result<Name> {
+    check_name(text).map_err(|error| AnnouncementError {
+        field,
+        reason: error.to_string(),
+    })
+}
+
+fn checked_url(text: &str) -> Result<Name> {
+    let fail = |reason: &str| AnnouncementError {
+        field: "url",
+        reason: reason.to_owned(),
+    };
+    let uri: Uri = text.parse().map_err(|_| fail("is no URL"))?;
+    if uri.scheme_str() != Some("http") {
+        return Err(fail("must begin with http://"));
+    }
+    if uri.authority().is_none() {
+        return Err(fail("must name a host"));
+    }
+    if uri.query().is_some() {
+        return Err(fail("must not have a query"));
+    }
+    Ok(Name::from(text.trim_end_matches('/')))
+}
+
+fn checked_count(field: &'static str, count: u16) -> Result<u16> {
+    if (1..=MAX_SLOTS).contains(&count) {
+        return Ok(count);
+    }
+    Err(AnnouncementError {
+        field,
+        reason: format!("is {count}; accepted are 1 to {MAX_SLOTS}"),
+    })
+}
+
+fn checked_ttl(ms: u64) -> Result<Duration> {
+    if (MIN_TTL_MS..=MAX_TTL_MS).contains(&ms) {
+        return Ok(Duration::from_millis(ms));
+    }
+    Err(AnnouncementError {
+        field: "ttl_ms",
+        reason: format!("is {ms}; accepted are {MIN_TTL_MS} to {MAX_TTL_MS} milliseconds"),
+    })
+}
--- /dev/null
+++ b/crates/masticcross-agent/src/connector.rs
@@ -0,0 +1,90 @@
+//! Decides which entries the agent keeps sessions with, and dials them again when a session ends.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+
+use crate::Agent;
+use crate::session::{self, SessionEnd};
+
+/// Interval at which the list of entries is looked at.
+const REVIEW: Duration = Duration::from_millis(100);
+
+/// First wait after a session ended or a dial failed.
+const MIN_BACK_OFF: Duration = Duration::from_millis(50);
+
+/// Longest wait after a failed dial.
+const MAX_BACK_OFF: Duration = Duration::from_secs(2);
+
+/// Keeps a session with each entry that the settings or the view name.
+pub async fn keep_sessions(agent: Arc<Agent>) {
+    let mut tasks: BTreeMap<SocketAddr, JoinHandle<()>> = BTreeMap::new();
+    loop {
+        let wanted = targets(&agent);
+        tasks.retain(|_, task| !task.is_finished());
+        for addr in wanted {
+            tasks
+                .entry(addr)
+                .or_insert_with(|| tokio::spawn(keep_session(agent.clone(), addr)));
+        }
+        sleep(REVIEW).await;
+    }
+}
+
+/// Lists the addresses to keep sessions with: the members of the view, or those of the settings
+/// while no view is known or no session is open.
+fn targets(agent: &Agent) -> Vec<SocketAddr> {
+    let view = agent.core.view().view();
+    let members = view.iter().flat_map(|view| &view.members);
+    let mut addrs: Vec<SocketAddr> = members.map(|member| member.addr).collect();
+    if addrs.is_empty() || agent.core.sessions().is_empty() {
+        addrs.extend(&agent.settings.entries);
+    }
+    addrs.sort_unstable();
+    addrs.dedup();
+    choose(addrs, agent)
+}
+
+/// Chooses among more entries than the settings allow, differently for each worker.
+fn choose(mut addrs: Vec<SocketAddr>, agent: &Agent) -> Vec<SocketAddr> {
+    let max = agent.settings.max_sessions;
+    if addrs.len() > max {
+        let name = &agent.settings.name;
+        addrs.sort_by_cached_key(|addr| hash(&(name, addr)));
+        addrs.truncate(max);
+    }
+    addrs
+}
+
+fn hash(value: &impl std::hash::Hash) -> u64 {
+    use std::hash::{BuildHasher, BuildHasherDefault};
+    BuildHasherDefault::<rustc_hash::FxHasher>::default().hash_one(value)
+}
+
+/// Keeps a session with one address until it is no longer wanted.
+async fn keep_session(agent: Arc<Agent>, addr: SocketAddr) {
+    let mut closing = agent.closing.subscribe();
+    let mut rng = SmallRng::seed_from_u64(agent.settings.seed ^ hash(&addr));
+    let mut wait = MIN_BACK_OFF;
+    loop {
+        let end = tokio::select! {
+            biased;
+            _ = closing.wait_for(|closing| *closing) => return,
+            end = session::run(&agent, addr) => end,
+        };
+        wait = match end {
+            SessionEnd::Opened => MIN_BACK_OFF,
+            SessionEnd::NotOpened => (wait * 2).min(MAX_BACK_OFF),
+        };
+        sleep(wait.mul_f64(rng.random_range(0.5..1.0))).await;
+        if !targets(&agent).contains(&addr) {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/masticcross-agent/src/core/starts.rs
@@ -0,0 +1,346 @@
+//! The way of a task through the agent: arrival, wait, the check before its start, and its end.
+
+use std::time::Duration;
+
+use masticcross_basics::timeline::{Event, EventKind};
+use masticcross_basics::{AttemptId, Name};
+use masticcross_wire::{NotStartedReason, StartTasks, StopTasks, TaskOutcome, TaskStart};
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::Announcement;
+use crate::backend::{RunOutcome, TaskBody};
+
+use super::attempts::{Known, NewAttempt};
+use super::queue::QueuedTask;
+use super::view::Result;
+use super::{AgentCore, SessionId, State};
+
+/// A task that must be run now.
+#[derive(Debug)]
+pub struct Run {
+    /// The attempt.
+    pub id: AttemptId,
+    /// The backend server.
+    pub backend: Announcement,
+    /// The request to it.
+    pub body: TaskBody,
+    /// Becomes true when the task is to be stopped.
+    pub stop: watch::Receiver<bool>,
+}
+
+/// A task that runs.
+#[derive(Debug)]
+pub struct Running {
+    /// Service of the task.
+    pub service: Name,
+    backend: Name,
+    stop: watch::Sender<bool>,
+}
+
+impl AgentCore {
+    /// Takes over tasks of one job. Each is answered exactly once by its end, be it that it did not
+    /// start. Returns the tasks to run now.
+    #[must_use]
+    pub fn start(&self, session: SessionId, start: &StartTasks, now: Instant) -> Vec<Run> {
+        self.timeline.observe(start.stamp);
+        let mut state = self.state.lock();
+        // A session that was replaced may have frames left; the newer one knows better.
+        let Some(origin) = self.sessions.entry_of(session) else {
+            return Vec::new();
+        };
+        let deadline = now + Duration::from_millis(start.left_ms.into());
+        for task in &start.tasks {
+            self.arrive(&mut state, session, &origin, start, task, deadline, now);
+        }
+        let runs = self.dispatch(&mut state, now);
+        state.attempts.trim(now);
+        runs
+    }
+
+    /// Stops attempts: what waits never starts, what runs is stopped at its backend server.
+    pub fn stop(&self, stop: &StopTasks, now: Instant) {
+        let mut state = self.state.lock();
+        for id in &stop.attempts {
+            if let Some(running) = state.running.get(id) {
+                running.stop.send_replace(true);
+            }
+        }
+        let stopped = state.queue.take(|task| stop.attempts.contains(&task.id));
+        self.refuse(&mut state, &stopped, NotStartedReason::Stopped, now);
+        self.grant(&mut state, now);
+    }
+
+    /// Takes over the end of a run. Returns the tasks to run now.
+    #[must_use]
+    pub fn finished(
+        &self,
+        id: AttemptId,
+        outcome: RunOutcome,
+        run: Duration,
+        now: Instant,
+    ) -> Vec<Run> {
+        let mut state = self.state.lock();
+        let Some(running) = state.running.remove(&id) else {
+            return Vec::new();
+        };
+        state.backends.free_place(&running.backend);
+        let outcome = task_outcome(outcome, *running.stop.borrow());
+        self.end(&mut state, id, outcome, run, now);
+        state.attempts.trim(now);
+        self.dispatch(&mut state, now)
+    }
+
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "one task of a frame that has the rest"
+    )]
+    fn arrive(
+        &self,
+        state: &mut State,
+        session: SessionId,
+        origin: &Name,
+        start: &StartTasks,
+        task: &TaskStart,
+        deadline: Instant,
+        now: Instant,
+    ) {
+        self.refuse_older(state, start, task, now);
+        let known = state.attempts.known(&start.key, task.index, task.attempt);
+        if known == Known::Duplicate {
+            self.report(state, task.attempt);
+            return;
+        }
+        if let Some(credits) = state.credits.get_mut(&start.key.service) {
+            credits.receive(session);
+        }
+        let new = NewAttempt {
+            key: start.key.clone(),
+            partition: start.key.partition(),
+            index: task.index,
+            id: task.attempt,
+            origin: origin.clone(),
+        };
+        let queued = QueuedTask {
+            key: start.key.clone(),
+            partition: new.partition,
+            epoch: start.epoch.min(task.attempt.epoch),
+            index: task.index,
+            id: task.attempt,
+            payload: task.payload.clone(),
+            deadline,
+        };
+        state.attempts.insert(new, now);
+        match self.admit(state, &known, &queued, now) {
+            Ok(()) => state.queue.push(queued),
+            Err(reason) => self.not_started(state, task.attempt, reason, now),
+        }
+        if let Known::Earlier(earlier) = known {
+            self.report(state, earlier);
+        }
+    }
+
+    /// Refuses an attempt of the same task that still waits here under an older epoch.
+    fn refuse_older(&self, state: &mut State, start: &StartTasks, task: &TaskStart, now: Instant) {
+        let older = state.queue.take(|queued| {
+            queued.key == start.key && queued.index == task.index && queued.epoch < start.epoch
+        });
+        self.refuse(state, &older, NotStartedReason::OldEpoch, now);
+    }
+
+    /// Checks that a task may wait here.
+    fn admit(&self, state: &State, known: &Known, task: &QueuedTask, now: Instant) -> Result<()> {
+        match known {
+            Known::New | Known::Duplicate => {}
+            Known::Forgotten | Known::Earlier(_) => return Err(NotStartedReason::AlreadyKnown),
+        }
+        self.check(state, task, now)?;
+        let service = &task.key.service;
+        if state.backends.places(service, now) == 0 {
+            return Err(NotStartedReason::NoBackend);
+        }
+        if state.queue.len(service) >= self.limits.queue {
+            return Err(NotStartedReason::NoRoom);
+        }
+        Ok(())
+    }
+
+    /// Checks that a task may start at this moment.
+    fn check(&self, state: &State, task: &QueuedTask, now: Instant) -> Result<()> {
+        if state.draining {
+            return Err(NotStartedReason::ShuttingDown);
+        }
+        if now >= task.deadline {
+            return Err(NotStartedReason::DeadlinePassed);
+        }
+        if task.epoch < state.fence(task.partition) {
+            return Err(NotStartedReason::OldEpoch);
+        }
+        self.view
+            .check(now, &self.identity.zone, task.partition, task.epoch)
+    }
+
+    /// Starts waiting tasks while places are free, then grants what is left.
+    pub(super) fn dispatch(&self, state: &mut State, now: Instant) -> Vec<Run> {
+        let mut runs = Vec::new();
+        for service in state.queue.services() {
+            while state.queue.len(&service) > 0 {
+                let Some(backend) = state.backends.take_place(&service, now) else {
+                    break;
+                };
+                let Some(task) = state.queue.pop(&service) else {
+                    break;
+                };
+                match self.begin(state, task, &backend, now) {
+                    Some(run) => runs.push(run),
+                    None => state.backends.free_place(&backend.name),
+                }
+            }
+        }
+        self.grant(state, now);
+        runs
+    }
+
+    /// Decides about the start of a task. This is the last step before the request is sent.
+    fn begin(
+        &self,
+        state: &mut State,
+        task: QueuedTask,
+        backend: &Announcement,
+        now: Instant,
+    ) -> Option<Run> {
+        if let Err(reason) = self.check(state, &task, now) {
+            self.not_started(state, task.id, reason, now);
+            return None;
+        }
+        if !state.attempts.start(task.id) {
+            return None;
+        }
+        let (stop_tx, stop) = watch::channel(false);
+        let running = Running {
+            service: task.key.service.clone(),
+            backend: backend.name.clone(),
+            stop: stop_tx,
+        };
+        state.running.insert(task.id, running);
+        self.metrics.started();
+        let event = Event::new(EventKind::Started)
+            .job(&task.key)
+            .task(task.index, task.id)
+            .worker(&self.identity.name)
+            .zone(&self.identity.zone);
+        self.timeline.record(event);
+        Some(Run {
+            id: task.id,
+            backend: backend.clone(),
+            body: body_of(task),
+            stop,
+        })
+    }
+
+    /// Refuses tasks that were taken out of the queue.
+    pub(super) fn refuse(
+        &self,
+        state: &mut State,
+        tasks: &[QueuedTask],
+        reason: NotStartedReason,
+        now: Instant,
+    ) {
+        for task in tasks {
+            self.not_started(state, task.id, reason, now);
+        }
+    }
+
+    pub(super) fn refuse_all_queued(&self, state: &mut State, now: Instant) {
+        let tasks = state.queue.take(|_| true);
+        self.refuse(state, &tasks, NotStartedReason::ShuttingDown, now);
+    }
+
+    pub(super) fn refuse_overdue(&self, state: &mut State, now: Instant) {
+        let tasks = state.queue.take(|task| task.deadline <= now);
+        self.refuse(state, &tasks, NotStartedReason::DeadlinePassed, now);
+    }
+
+    /// Refuses waiting tasks of services that no backend server here serves any more.
+    pub(super) fn refuse_without_backend(&self, state: &mut State, now: Instant) {
+        for service in state.queue.services() {
+            if state.backends.places(&service, now) == 0 {
+                let tasks = state.queue.take(|task| task.key.service == service);
+                self.refuse(state, &tasks, NotStartedReason::NoBackend, now);
+            }
+        }
+    }
+
+    pub(super) fn not_started(
+        &self,
+        state: &mut State,
+        id: AttemptId,
+        reason: NotStartedReason,
+        now: Instant,
+    ) {
+        let outcome = TaskOutcome::NotStarted(reason);
+        self.end(state, id, outcome, Duration::ZERO, now);
+    }
+
+    /// Notes the end of an attempt and reports it.
+    fn end(
+        &self,
+        state: &mut State,
+        id: AttemptId,
+        outcome: TaskOutcome,
+        run: Duration,
+        now: Instant,
+    ) {
+        self.metrics.ended(&outcome);
+        let kind = match outcome {
+            TaskOutcome::NotStarted(_) => EventKind::NotStarted,
+            _ => EventKind::Ended,
+        };
+        let detail = describe(&outcome);
+        if !state.attempts.end(id, outcome, run, now) {
+            return;
+        }
+        if let Some(attempt) = state.attempts.get(id) {
+            let event = Event::new(kind)
+                .job(&attempt.key)
+                .task(attempt.index, id)
+                .worker(&self.identity.name)
+                .zone(&self.identity.zone)
+                .detail(detail);
+            self.timeline.record(event);
+        }
+        self.report(state, id);
+    }
+}
+
+fn body_of(task: QueuedTask) -> TaskBody {
+    TaskBody {
+        service: task.key.service,
+        job: task.key.job,
+        index: task.index,
+        attempt: task.id,
+        payload: task.payload,
+    }
+}
+
+/// Translates the end of a run. A result that came in spite of a stop is kept.
+fn task_outcome(outcome: RunOutcome, stopped: bool) -> TaskOutcome {
+    match outcome {
+        RunOutcome::Done(json) => TaskOutcome::Done(json),
+        RunOutcome::NotSent(_) => TaskOutcome::NotStarted(NotStartedReason::ConnectFailed),
+        RunOutcome::Failed(_) | RunOutcome::Stopped if stopped => TaskOutcome::Stopped,
+        RunOutcome::Failed(text) => TaskOutcome::Failed(text),
+        RunOutcome::Stopped => TaskOutcome::Stopped,
+    }
+}
+
+/// Names an outcome for the time line.
+fn describe(outcome: &TaskOutcome) -> String {
+    match outcome {
+        TaskOutcome::Done(_) => "done".to_owned(),
+        TaskOutcome::Failed(text) => format!("failed: {text}"),
+        TaskOutcome::Stopped => "stopped".to_owned(),
+        TaskOutcome::NotStarted(reason) => format!("not started: {reason:?}"),
+        TaskOutcome::ResultDropped => "result dropped".to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/masticcross-agent/src/http/backends.rs
@@ -0,0 +1,119 @@
+//! Announcements of backend servers.
+
+use std::pin::Pin;
+use std::time::Duration;
+
+use gotham::handler::HandlerFuture;
+use gotham::helpers::http::Body;
+use gotham::helpers::http::response::create_empty_response;
+use gotham::prelude::*;
+use gotham::state::State;
+use http::{Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use masticcross_basics::Code;
+use serde::{Deserialize, Serialize};
+use tokio::time::{Instant, timeout};
+
+use super::{AgentHandle, answer};
+use crate::Announcement;
+use crate::announcement::AnnouncementBody;
+
+/// Largest accepted announcement, in bytes.
+const MAX_BODY_BYTES: usize = 16 * 1024;
+
+/// Longest wait for the body of an announcement.
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The path of one backend server.
+#[derive(Deserialize, StateData, StaticResponseExtender)]
+pub struct BackendPath {
+    name: String,
+}
+
+/// A backend server in the list.
+#[derive(Serialize)]
+struct Listed {
+    name: String,
+    service: String,
+    url: String,
+    slots: u16,
+    connections: u16,
+    running: u16,
+    in_service: bool,
+    ttl_left_ms: u64,
+}
+
+/// Lists the backend servers.
+pub fn list(mut state: State) -> (State, Response<Body>) {
+    let AgentHandle(agent) = AgentHandle::take_from(&mut state);
+    let now = Instant::now();
+    let listed: Vec<Listed> = agent
+        .core()
+        .backends()
+        .iter()
+        .map(|backend| Listed {
+            name: backend.announcement.name.to_string(),
+            service: backend.announcement.service.to_string(),
+            url: backend.announcement.url.to_string(),
+            slots: backend.announcement.slots,
+            connections: backend.announcement.connections,
+            running: backend.running,
+            in_service: backend.is_live(now),
+            ttl_left_ms: millis(backend.expires_at.saturating_duration_since(now)),
+        })
+        .collect();
+    let resp = answer::json(&state, StatusCode::OK, &listed);
+    (state, resp)
+}
+
+/// Adds or renews a backend server.
+pub fn announce(mut state: State) -> Pin<Box<HandlerFuture>> {
+    Box::pin(async move {
+        let AgentHandle(agent) = AgentHandle::take_from(&mut state);
+        let BackendPath { name } = BackendPath::take_from(&mut state);
+        let body = Body::take_from(&mut state);
+        let resp = match read(&name, body).await {
+            Ok(announcement) => {
+                agent.announce(announcement);
+                create_empty_response(&state, StatusCode::NO_CONTENT)
+            }
+            Err((code, detail)) => answer::problem(&state, code, &detail),
+        };
+        Ok((state, resp))
+    })
+}
+
+/// Marks a backend server as left.
+pub fn withdraw(mut state: State) -> (State, Response<Body>) {
+    let AgentHandle(agent) = AgentHandle::take_from(&mut state);
+    let BackendPath { name } = BackendPath::take_from(&mut state);
+    let resp = if agent.withdraw(&name) {
+        create_empty_response(&state, StatusCode::NO_CONTENT)
+    } else {
+        let detail = format!("no backend server {name:?} is announced here");
+        answer::problem(&state, Code::NoSuchResource, &detail)
+    };
+    (state, resp)
+}
+
+type Result<T> = std::result::Result<T, (Code, String)>;
+
+async fn read(name: &str, body: Body) -> Result<Announcement> {
+    let collected = timeout(BODY_TIMEOUT, Limited::new(body, MAX_BODY_BYTES).collect()).await;
+    let collected = collected.map_err(|_| timed_out())?.map_err(|error| {
+        let detail = format!("body is over {MAX_BODY_BYTES} bytes or broke off: {error}");
+        (Code::BodyTooLarge, detail)
+    })?;
+    let body: AnnouncementBody = serde_json::from_slice(&collected.to_bytes())
+        .map_err(|error| (Code::MalformedBody, error.to_string()))?;
+    Announcement::check(name, &body).map_err(|error| (Code::InvalidField, error.to_string()))
+}
+
+fn timed_out() -> (Code, String) {
+    let detail = format!("body did not arrive within {} s", BODY_TIMEOUT.as_secs());
+    (Code::BodyTimeout, detail)
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/masticcross-agent/src/http/operators.rs
@@ -0,0 +1,58 @@
+//! Health, readiness, metrics and time line.
+
+use gotham::helpers::http::Body;
+use gotham::prelude::*;
+use gotham::state::State;
+use http::{Response, StatusCode};
+
+use super::{AgentHandle, answer};
+use crate::core::Stats;
+
+/// Answers that the process runs.
+pub fn health(state: State) -> (State, Response<Body>) {
+    let resp = answer::text(&state, StatusCode::OK, "running\n".to_owned());
+    (state, resp)
+}
+
+/// Answers whether the agent would start a task now, and if not, why.
+pub fn ready(mut state: State) -> (State, Response<Body>) {
+    let AgentHandle(agent) = AgentHandle::take_from(&mut state);
+    let (status, reason) = match obstacle(&agent.stats()) {
+        None => (StatusCode::OK, "ready"),
+        Some(reason) => (StatusCode::SERVICE_UNAVAILABLE, reason),
+    };
+    let resp = answer::text(&state, status, format!("{reason}\n"));
+    (state, resp)
+}
+
+fn obstacle(stats: &Stats) -> Option<&'static str> {
+    if stats.draining {
+        return Some("shutting down");
+    }
+    if stats.sessions == 0 {
+        return Some("no session with an entry");
+    }
+    if !stats.view_fresh {
+        return Some("no fresh view of the configuration");
+    }
+    if stats.backends == 0 {
+        return Some("no backend server is announced");
+    }
+    None
+}
+
+/// Writes the metrics.
+pub fn metrics(mut state: State) -> (State, Response<Body>) {
+    let AgentHandle(agent) = AgentHandle::take_from(&mut state);
+    let text = agent.core().metrics().text(&agent.stats());
+    let resp = answer::text(&state, StatusCode::OK, text);
+    (state, resp)
+}
+
+/// Writes the events that the time line keeps, oldest first.
+pub fn timeline(mut state: State) -> (State, Response<Body>) {
+    let AgentHandle(agent) = AgentHandle::take_from(&mut state);
+    let events = agent.core().timeline().events();
+    let resp = answer::json(&state, StatusCode::OK, &events);
+    (state, resp)
+}
--- a/crates/masticcross-agent/src/main.rs
+++ b/crates/masticcross-agent/src/main.rs
@@ -1,5 +1,40 @@
-//! Prints the version.
+//! The agent program.
 
-fn main() {
-    println!("masticcross-agent {}", env!("CARGO_PKG_VERSION"));
+use std::process::ExitCode;
+
+use masticcross_agent::{program, settings};
+
+/// Exit code for settings that are not accepted.
+const BAD_SETTINGS: u8 = 2;
+
+fn main() -> ExitCode {
+    let options = match settings::options().run_inner(bpaf::Args::current_args()) {
+        Ok(options) => options,
+        Err(failure) => {
+            failure.print_message(100);
+            let bad = failure.exit_code() != 0;
+            return ExitCode::from(if bad { BAD_SETTINGS } else { 0 });
+        }
+    };
+    let settings = match options.settings() {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("Error: {error}");
+            return ExitCode::from(BAD_SETTINGS);
+        }
+    };
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build();
+    let result = runtime
+        .map_err(eyre::Report::from)
+        .and_then(|runtime| runtime.block_on(program::run(options, settings)));
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("Error: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
 }
--- /dev/null
+++ b/crates/masticcross-agent/src/settings.rs
@@ -0,0 +1,352 @@
+//! Settings, from flags and environment variables.
+
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use bpaf::Bpaf;
+use masticcross_basics::Name;
+use masticcross_basics::logging::LogFormat;
+use masticcross_basics::name::check_name;
+use masticcross_wire::ws::SharedSecret;
+
+use crate::Identity;
+
+/// Shortest accepted secret, in bytes.
+const MIN_SECRET_BYTES: usize = 16;
+
+/// Limits of the decisions.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AgentLimits {
+    /// Tasks of a service that may wait here beside those that run; none for one for every four
+    /// slots.
+    pub prefetch: Option<u16>,
+    /// Memory for kept attempts and results, in bytes.
+    pub result_memory: usize,
+    /// Tasks of a service that wait here at most, whatever was granted.
+    pub queue: usize,
+}
+
+impl AgentLimits {
+    /// Returns the tasks that may wait here beside a number of slots.
+    #[must_use]
+    pub fn prefetch_for(&self, slots: u64) -> u64 {
+        self.prefetch.map_or((slots / 4).max(1), u64::from)
+    }
+}
+
+impl Default for AgentLimits {
+    fn default() -> Self {
+        Self {
+            prefetch: None,
+            result_memory: 64 * 1024 * 1024,
+            queue: 4_096,
+        }
+    }
+}
+
+/// Settings of one agent.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Name of the worker.
+    pub name: Name,
+    /// Availability zone of the worker.
+    pub zone: Name,
+    /// Addresses of entries to begin with.
+    pub entries: Vec<SocketAddr>,
+    /// Most sessions at once.
+    pub max_sessions: usize,
+    /// Interval of heartbeats.
+    pub heartbeat: Duration,
+    /// Silence after which a session ends.
+    pub suspect_after: Duration,
+    /// Longest time of a stop in order.
+    pub drain_limit: Duration,
+    /// Limits of the decisions.
+    pub limits: AgentLimits,
+    /// The start of the process; larger than that of any earlier one.
+    pub incarnation: u64,
+    /// Seed of the random parts of waits.
+    pub seed: u64,
+}
+
+impl Settings {
+    /// Creates settings with the usual values.
+    #[must_use]
+    pub fn new(name: Name, zone: Name, entries: Vec<SocketAddr>, incarnation: u64) -> Self {
+        Self {
+            name,
+            zone,
+            entries,
+            max_sessions: 16,
+            heartbeat: Duration::from_millis(250),
+            suspect_after: Duration::from_millis(1_250),
+            drain_limit: Duration::from_mins(1),
+            limits: AgentLimits::default(),
+            incarnation,
+            seed: incarnation,
+        }
+    }
+
+    /// Returns who the agent is.
+    #[must_use]
+    pub fn identity(&self) -> Identity {
+        Identity {
+            name: self.name.clone(),
+            incarnation: self.incarnation,
+            zone: self.zone.clone(),
+        }
+    }
+}
+
+/// The agent: the process of masticcross beside a backend server.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options, version)]
+pub struct Options {
+    /// Name of the worker, unique among all workers
+    #[bpaf(
+        long,
+        env("MASTICCROSS_AGENT_NAME"),
+        argument::<String>("NAME"),
+        parse(parse_name)
+    )]
+    pub name: Name,
+    /// Availability zone of the worker
+    #[bpaf(
+        long,
+        env("MASTICCROSS_AGENT_ZONE"),
+        argument::<String>("ZONE"),
+        parse(parse_name)
+    )]
+    pub zone: Name,
+    /// Entries to begin with, as IP:PORT, separated by commas
+    #[bpaf(
+        long,
+        env("MASTICCROSS_AGENT_ENTRIES"),
+        argument::<String>("IP:PORT,..."),
+        parse(parse_addrs)
+    )]
+    pub entries: Vec<SocketAddr>,
+    /// Where backend servers announce themselves [default: 127.0.0.1:7300]
+    #[bpaf(
+        long,
+        env("MASTICCROSS_AGENT_LISTEN"),
+        argument::<String>("IP:PORT"),
+        parse(parse_addr),
+        fallback(default_addr(7300))
+    )]
+    pub listen: SocketAddr,
+    /// Where operators ask for health, metrics and the time line [default: 127.0.0.1:7301]
+    #[bpaf(
+        long,
+        env("MASTICCROSS_AGENT_OPS_LISTEN"),
+        argument::<String>("IP:PORT"),
+        parse(parse_addr),
+        fallback(default_addr(7301))
+    )]
+    pub ops_listen: SocketAddr,
+    /// Secret shared by all processes, at least 16 bytes
+    #[bpaf(
+        long,
+        env("MASTICCROSS_SECRET"),
+        argument::<String>("TEXT"),
+        parse(parse_secret)
+    )]
+    pub secret: SharedSecret,
+    /// Most sessions with entries, 1 to 64 [default: 16]
+    #[bpaf(
+        long,
+        env("MASTICCROSS_AGENT_MAX_SESSIONS"),
+        argument::<String>("COUNT"),
+        parse(parse_max_sessions),
+        fallback(16)
+    )]
+    pub max_sessions: usize,
+    /// Memory for kept results in bytes, from 1048576 [default: 67108864]
+    #[bpaf(
+        long,
+        env("MASTICCROSS_AGENT_RESULT_MEMORY"),
+        argument::<String>("BYTES"),
+        parse(parse_result_memory),
+        fallback(64 * 1024 * 1024)
+    )]
+    pub result_memory: usize,
+    /// Tasks that wait here beside those that run, 0 to 4096 [default: one for every four slots]
+    #[bpaf(
+        long,
+        env("MASTICCROSS_AGENT_PREFETCH"),
+        argument::<String>("COUNT"),
+        parse(parse_prefetch),
+        optional
+    )]
+    pub prefetch: Option<u16>,
+    /// Interval of heartbeats in milliseconds, 10 to 5000 [default: 250]
+    #[bpaf(
+        long,
+        env("MASTICCROSS_AGENT_HEARTBEAT_MS"),
+        argument::<String>("MS"),
+        parse(parse_heartbeat),
+        fallback(Duration::from_millis(250))
+    )]
+    pub heartbeat_ms: Duration,
+    /// Silence in milliseconds after which a session ends, 50 to 60000 [default: 1250]
+    #[bpaf(
+        long,
+        env("MASTICCROSS_AGENT_SUSPECT_AFTER_MS"),
+        argument::<String>("MS"),
+        parse(parse_suspect_after),
+        fallback(Duration::from_millis(1_250))
+    )]
+    pub suspect_after_ms: Duration,
+    /// Longest time of a stop in order in milliseconds, up to 3600000 [default: 60000]
+    #[bpaf(
+        long,
+        env("MASTICCROSS_AGENT_DRAIN_LIMIT_MS"),
+        argument::<String>("MS"),
+        parse(parse_drain_limit),
+        fallback(Duration::from_mins(1))
+    )]
+    pub drain_limit_ms: Duration,
+    /// Form of the log lines: text or json [default: text]
+    #[bpaf(
+        long,
+        env("MASTICCROSS_AGENT_LOG_FORMAT"),
+        argument::<String>("FORMAT"),
+        parse(parse_log_format),
+        fallback(LogFormat::Text)
+    )]
+    pub log_format: LogFormat,
+}
+
+impl Options {
+    /// Returns the settings for a start of the process now.
+    ///
+    /// # Errors
+    /// Says which settings do not fit together.
+    pub fn settings(&self) -> Result<Settings> {
+        if self.suspect_after_ms < self.heartbeat_ms * 2 {
+            return Err(format!(
+                "--suspect-after-ms is {}; accepted is at least twice --heartbeat-ms, {}",
+                self.suspect_after_ms.as_millis(),
+                (self.heartbeat_ms * 2).as_millis()
+            ));
+        }
+        let mut settings = Settings::new(
+            self.name.clone(),
+            self.zone.clone(),
+            self.entries.clone(),
+            incarnation_now(),
+        );
+        settings.max_sessions = self.max_sessions;
+        settings.heartbeat = self.heartbeat_ms;
+        settings.suspect_after = self.suspect_after_ms;
+        settings.drain_limit = self.drain_limit_ms;
+        settings.limits.prefetch = self.prefetch;
+        settings.limits.result_memory = self.result_memory;
+        Ok(settings)
+    }
+}
+
+/// Result of the reading of a setting; the error is a sentence for people.
+pub type Result<T> = std::result::Result<T, String>;
+
+fn incarnation_now() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).ok();
+    since
+        .and_then(|since| u64::try_from(since.as_micros()).ok())
+        .unwrap_or(1)
+}
+
+fn default_addr(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+#[expect(
+    clippy::needless_pass_by_value,
+    reason = "the parser hands over values"
+)]
+fn parse_name(text: String) -> Result<Name> {
+    check_name(&text).map_err(|error| format!("name {text:?} {error}"))
+}
+
+#[expect(
+    clippy::needless_pass_by_value,
+    reason = "the parser hands over values"
+)]
+fn parse_addr(text: String) -> Result<SocketAddr> {
+    let addr = text.trim().parse();
+    addr.map_err(|_| format!("{text:?} is no address; accepted is IP:PORT"))
+}
+
+#[expect(
+    clippy::needless_pass_by_value,
+    reason = "the parser hands over values"
+)]
+fn parse_addrs(text: String) -> Result<Vec<SocketAddr>> {
+    text.split(',')
+        .map(|part| parse_addr(part.to_owned()))
+        .collect()
+}
+
+#[expect(
+    clippy::needless_pass_by_value,
+    reason = "the parser hands over values"
+)]
+fn parse_secret(text: String) -> Result<SharedSecret> {
+    let printable = text.bytes().all(|b| b.is_ascii_graphic());
+    if text.len() < MIN_SECRET_BYTES || !printable {
+        return Err(format!(
+            "the secret is not accepted; accepted are at least {MIN_SECRET_BYTES} printable ASCII \
+             characters without spaces"
+        ));
+    }
+    Ok(SharedSecret::new(&text))
+}
+
+fn parse_max_sessions(text: String) -> Result<usize> {
+    parse_number(text, 1, 64)
+}
+
+fn parse_result_memory(text: String) -> Result<usize> {
+    parse_number(text, 1024 * 1024, 64 * 1024 * 1024 * 1024)
+}
+
+fn parse_prefetch(text: String) -> Result<u16> {
+    parse_number(text, 0, 4_096)
+}
+
+fn parse_heartbeat(text: String) -> Result<Duration> {
+    parse_number(text, 10, 5_000).map(Duration::from_millis)
+}
+
+fn parse_suspect_after(text: String) -> Result<Duration> {
+    parse_number(text, 50, 60_000).map(Duration::from_millis)
+}
+
+fn parse_drain_limit(text: String) -> Result<Duration> {
+    parse_number(text, 0, 3_600_000).map(Duration::from_millis)
+}
+
+#[expect(
+    clippy::needless_pass_by_value,
+    reason = "the parser hands over values"
+)]
+fn parse_log_format(text: String) -> Result<LogFormat> {
+    text.parse()
+}
+
+#[expect(
+    clippy::needless_pass_by_value,
+    reason = "the parser hands over values"
+)]
+fn parse_number<T>(text: String, min: u64, max: u64) -> Result<T>
+where
+    T: TryFrom<u64>,
+{
+    let number = text.parse::<u64>().ok();
+    number
+        .filter(|number| (min..=max).contains(number))
+        .and_then(|number| T::try_from(number).ok())
+        .ok_or_else(|| {
+            format!("{text:?} is not accepted; accepted are whole numbers {min} to {max}")
+        })
+}
