Tell the peers' table of agents' sessions and of a stop

Cause: agents that no entry hears are taken off the log; without this call every live agent would look unheard. Change: entry.rs registers an agent when its session begins, reports its end, and announces a stop to the other members before partitions are handed over.

--- a/crates/masticcross-entry/src/entry.rs
+++ b/crates/masticcross-entry/src/entry.rs
@@ -170,6 +170,7 @@
     /// Stops in order: hands over what it owns, lets requests in progress end, and leaves.
     pub async fn close(mut self) {
         self.draining.store(true, Ordering::Relaxed);
+        self.peers.drain();
         if timeout(self.drain_limit, self.owner.close()).await.is_err() {
             log::warn!(entry:% = self.identity.name; "partitions left at the end of the drain limit");
         }
@@ -219,7 +220,12 @@
                 return;
             };
             match hello.role {
-                Role::Agent => dispatch.serve_agent(hello, link).await,
+                Role::Agent => {
+                    let (worker, incarnation) = (hello.name.clone(), hello.incarnation);
+                    peers.register_agent(&worker, incarnation, &hello.zone);
+                    dispatch.serve_agent(hello, link).await;
+                    peers.agent_lost(&worker, incarnation);
+                }
                 Role::Entry => peers.serve_peer(hello, link, owner).await,
             }
         });
