--- a/crates/masticcross-agent/src/metrics.rs
+++ b/crates/masticcross-agent/src/metrics.rs
@@ -164,5 +164,7 @@
         Frame::Handover(_) => "handover",
         Frame::HandoverTaken(_) => "handover_taken",
         Frame::Drain => "drain",
+        Frame::WhoHears(_) => "who_hears",
+        Frame::Heard { .. } => "heard",
     }
 }
--- a/crates/masticcross-config/src/lib.rs
+++ b/crates/masticcross-config/src/lib.rs
@@ -9,6 +9,7 @@
 //! ```
 
 pub mod document;
+pub mod edit;
 pub mod samples;
 
 pub use document::{Document, Limits, Service, Team, Times, Zone};
