Name what a takeover must know: earlier epoch, lost agents, ended jobs

- Ownership names the epoch before and whether the table was handed over, by a Transfer record, so that a table left over from a handover that failed is never taken for a current one.
- The state names the position after the last loss of an agent, and an admission the owner's position, so that a new owner knows whether an agent that could have started a task of the job is gone with what it knew.
- AdmissionBatch carries the ends of jobs.
Without them a job that ended, whose results agents have dropped, looks like one that never started.
- JobRecord says whether anything of the job may have run.

--- a/crates/masticcross-ledger/src/agreement.rs
+++ b/crates/masticcross-ledger/src/agreement.rs
@@ -196,7 +196,9 @@
         &self.settings
     }
 
-    pub(crate) fn identity(&self) -> &LedgerIdentity {
+    /// Returns who runs the fold.
+    #[must_use]
+    pub fn identity(&self) -> &LedgerIdentity {
         &self.identity
     }
 
--- a/crates/masticcross-ledger/src/lib.rs
+++ b/crates/masticcross-ledger/src/lib.rs
@@ -23,8 +23,8 @@
 pub use agreement::{Agreement, LedgerIdentity};
 pub use publish::{ConfigHistory, PublishOutcome, publish, read_config};
 pub use record::{
-    AdmissionBatch, AdmissionRecord, ConfigChange, ConfigRecord, ConfigSnapshot, PartitionClaim,
-    PartitionsChange, PartitionsRecord, PartitionsSnapshot,
+    AdmissionBatch, AdmissionRecord, ConfigChange, ConfigRecord, ConfigSnapshot, EndedRecord,
+    PartitionClaim, PartitionsChange, PartitionsRecord, PartitionsSnapshot,
 };
 pub use settings::AgreementSettings;
 pub use state::{AgentEntry, AgreedConfig, AgreedState, Ownership};
--- a/crates/masticcross-ledger/src/record.rs
+++ b/crates/masticcross-ledger/src/record.rs
@@ -65,6 +65,9 @@
     pub partitions: Vec<Ownership>,
     /// Agents that may start tasks, by worker.
     pub agents: BTreeMap<Name, AgentEntry>,
+    /// Position after the last record that replaced or removed an agent.
+    #[serde(default)]
+    pub agents_lost_at: u64,
 }
 
 /// A proposed configuration, on stream `config`. It is accepted only if `base` is the version in
@@ -120,6 +123,15 @@
         /// The partitions.
         partitions: Vec<PartitionClaim>,
     },
+    /// The owner of a partition makes the member that has taken its table the next owner.
+    Transfer {
+        /// Name of the new owner.
+        owner: Name,
+        /// Its incarnation, which must be a member.
+        incarnation: Incarnation,
+        /// The partition.
+        claim: PartitionClaim,
+    },
     /// An agent may start tasks. It replaces an older incarnation of the same worker.
     AgentUp {
         /// The worker.
@@ -151,6 +163,20 @@
     pub repeatable: bool,
     /// Number of tasks.
     pub tasks: u16,
+    /// The owner's position in stream `partitions`. An agent lost after it may have started tasks
+    /// of the job.
+    #[serde(default)]
+    pub view: u64,
+}
+
+/// The end of one job, on stream `admissions`. An admission counts again only if it comes later and
+/// under no older epoch.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndedRecord {
+    /// The job.
+    pub key: JobKey,
+    /// Epoch of the owner that ended it.
+    pub epoch: Epoch,
 }
 
 /// Jobs admitted together, one record of stream `admissions`.
@@ -162,4 +188,7 @@
     pub at_ms: u64,
     /// The jobs.
     pub jobs: Vec<AdmissionRecord>,
+    /// Jobs that ended: nothing of them starts any more, whoever owns the partition.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub ended: Vec<EndedRecord>,
 }
--- a/crates/masticcross-ledger/src/state.rs
+++ b/crates/masticcross-ledger/src/state.rs
@@ -43,6 +43,12 @@
     pub owner: Option<(Name, Incarnation)>,
     /// The owner's epoch.
     pub epoch: Epoch,
+    /// The epoch before; zero if the partition had no owner before.
+    #[serde(default)]
+    pub previous: Epoch,
+    /// True if the owner before has sent its table to this owner.
+    #[serde(default)]
+    pub is_handed_over: bool,
 }
 
 /// An agent that may start tasks.
@@ -67,6 +73,9 @@
     pub partitions: Vec<Ownership>,
     /// Agents that may start tasks, by worker.
     pub agents: BTreeMap<Name, AgentEntry>,
+    /// Position after the last record that replaced or removed an agent. What such an agent started
+    /// is not known any more.
+    pub agents_lost_at: u64,
 }
 
 impl Default for AgreedState {
@@ -77,6 +86,7 @@
             members: BTreeMap::new(),
             partitions: vec![Ownership::default(); usize::from(PARTITIONS)],
             agents: BTreeMap::new(),
+            agents_lost_at: 0,
         }
     }
 }
@@ -148,6 +158,7 @@
         self.partitions
             .resize(usize::from(PARTITIONS), Ownership::default());
         self.agents.clone_from(&snapshot.agents);
+        self.agents_lost_at = snapshot.agents_lost_at;
     }
 
     /// Returns a snapshot of members, owners and agents.
@@ -158,6 +169,7 @@
             members: self.members.clone(),
             partitions: self.partitions.clone(),
             agents: self.agents.clone(),
+            agents_lost_at: self.agents_lost_at,
         }
     }
 
@@ -167,9 +179,10 @@
         self.version.partitions = offset + 1;
         self.members.clear();
         self.agents.clear();
+        self.agents_lost_at = offset + 1;
         let vacant = Ownership {
-            owner: None,
             epoch: Epoch(offset + 1),
+            ..Ownership::default()
         };
         self.partitions = vec![vacant; usize::from(PARTITIONS)];
     }
@@ -184,16 +197,21 @@
                 owner,
                 incarnation,
                 partitions,
-            } => self.claim(offset, owner, *incarnation, partitions),
+            } => self.claim(offset, owner, *incarnation, partitions, false),
+            PartitionsChange::Transfer {
+                owner,
+                incarnation,
+                claim,
+            } => self.claim(offset, owner, *incarnation, &[*claim], true),
             PartitionsChange::AgentUp {
                 worker,
                 incarnation,
                 zone,
-            } => self.agent_up(worker, *incarnation, zone),
+            } => self.agent_up(offset, worker, *incarnation, zone),
             PartitionsChange::AgentDown {
                 worker,
                 incarnation,
-            } => self.agent_down(worker, *incarnation),
+            } => self.agent_down(offset, worker, *incarnation),
         }
     }
 
@@ -210,6 +228,7 @@
         owner: &Name,
         incarnation: Incarnation,
         claims: &[PartitionClaim],
+        is_handed_over: bool,
     ) {
         let current = self.members.get(owner).map(|m| m.incarnation);
         if current != Some(incarnation) {
@@ -221,15 +240,22 @@
                 continue;
             };
             if ownership.epoch == claim.previous {
-                ownership.epoch = Epoch(offset + 1);
-                ownership.owner = Some((owner.clone(), incarnation));
+                *ownership = Ownership {
+                    owner: Some((owner.clone(), incarnation)),
+                    epoch: Epoch(offset + 1),
+                    previous: claim.previous,
+                    is_handed_over,
+                };
             }
         }
     }
 
-    fn agent_up(&mut self, worker: &Name, incarnation: Incarnation, zone: &Name) {
+    fn agent_up(&mut self, offset: u64, worker: &Name, incarnation: Incarnation, zone: &Name) {
         let current = self.agents.get(worker).map(|a| a.incarnation);
         if current.is_none_or(|c| c < incarnation) {
+            if current.is_some() {
+                self.agents_lost_at = offset + 1;
+            }
             let agent = AgentEntry {
                 incarnation,
                 zone: zone.clone(),
@@ -238,10 +264,11 @@
         }
     }
 
-    fn agent_down(&mut self, worker: &Name, incarnation: Incarnation) {
+    fn agent_down(&mut self, offset: u64, worker: &Name, incarnation: Incarnation) {
         let current = self.agents.get(worker).map(|a| a.incarnation);
         if current == Some(incarnation) {
             self.agents.remove(worker);
+            self.agents_lost_at = offset + 1;
         }
     }
 
--- a/crates/masticcross-wire/src/job.rs
+++ b/crates/masticcross-wire/src/job.rs
@@ -5,6 +5,7 @@
 use masticcross_basics::{AttemptId, Code, Digest, JobKey, Name, Partition};
 use serde::{Deserialize, Serialize};
 
+use crate::Incarnation;
 use crate::frame::TaskOutcome;
 
 /// One JSON value in its written form, carried without being parsed.
@@ -123,6 +124,8 @@
         attempt: AttemptId,
         /// The worker whose agent has it.
         worker: Name,
+        /// The agent's start.
+        incarnation: Incarnation,
     },
     /// Ended.
     Ended(TaskOutcome),
@@ -141,6 +144,9 @@
     pub age_ms: u64,
     /// The tasks' states while the job runs.
     pub tasks: Vec<TaskRecord>,
+    /// True once an attempt may have started that no task's state names any more.
+    #[serde(default)]
+    pub ran: bool,
     /// The final answer, once there is one.
     pub answer: Option<JobAnswer>,
 }
