Own jobs: tables by partition, group commit, takeover and handover

Cause: the skeleton had signatures only.

Change: the once-only tables with a lock per partition, whose decisions return effects that are carried out after the lock is dropped; admissions by group commit with read-back; recovery from admissions and agents' reports after the fence; handover of a table with a Transfer record; a memory limit on answers.

--- /dev/null
+++ b/crates/masticcross-entry/src/admission/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the writer and the reader.
--- a/crates/masticcross-entry/src/entry.rs
+++ b/crates/masticcross-entry/src/entry.rs
@@ -170,7 +170,10 @@
     /// Stops in order: hands over what it owns, lets requests in progress end, and leaves.
     pub async fn close(mut self) {
         self.draining.store(true, Ordering::Relaxed);
-        if timeout(self.drain_limit, self.owner.close()).await.is_err() {
+        if timeout(self.drain_limit, self.owner.close(&self.peers))
+            .await
+            .is_err()
+        {
             log::warn!(entry:% = self.identity.name; "partitions left at the end of the drain limit");
         }
         self.callers.close(self.drain_limit).await;
--- /dev/null
+++ b/crates/masticcross-entry/src/owner/handover.rs
@@ -0,0 +1,227 @@
+//! Planned handover: the table of a partition as records, and back.
+
+use std::time::Duration;
+
+use masticcross_basics::{AttemptId, Name, Partition};
+use masticcross_wire::{Handover, JobRecord, JobRequest, TaskOutcome, TaskRecord};
+use tokio::time::Instant;
+
+use super::AgentId;
+use super::effect::{Effect, Waiters};
+use super::job::{Contact, Job, Placement, Stage, Task, TaskState};
+use super::loss::UNCERTAIN_ATTEMPT;
+use super::shard::{Cx, Phase, Shard};
+
+/// Jobs in one frame.
+const JOBS_PER_FRAME: usize = 128;
+
+/// A table on its way here.
+#[derive(Debug, Default)]
+pub(super) struct Incoming {
+    /// Jobs received so far.
+    pub jobs: Vec<JobRecord>,
+    /// True once all have been received.
+    pub is_complete: bool,
+}
+
+impl Shard {
+    /// Stops new starts, for a handover. Returns false if the partition is not open.
+    pub(super) fn begin_move(&mut self) -> bool {
+        let is_open = matches!(self.phase, Phase::Open);
+        if is_open {
+            self.phase = Phase::Moving;
+        }
+        is_open
+    }
+
+    /// Returns true if no job of the table waits for its admission.
+    pub(super) fn is_settled(&self) -> bool {
+        self.jobs.values().all(|job| job.stage != Stage::Admitting)
+    }
+
+    /// Goes on as the owner after a handover that failed.
+    pub(super) fn cancel_move(&mut self, cx: &mut Cx<'_>) {
+        if !matches!(self.phase, Phase::Moving) {
+            return;
+        }
+        let mut waiting = Vec::new();
+        for job in self.jobs.values_mut().filter(|j| j.stage == Stage::Running) {
+            waiting.extend(job.queue_where(|state| *state == TaskState::Waiting));
+        }
+        cx.effects.push(Effect::Enqueue(waiting));
+        self.open(cx);
+    }
+
+    /// Describes the table in frames for the next owner.
+    pub(super) fn export(&self, now: Instant) -> Vec<Handover> {
+        let running = self.jobs.values().map(|job| running_record(job, now));
+        let ended = self.ended.iter().map(|(key, ended)| JobRecord {
+            request: empty_request(key.clone(), Name::from(""), true),
+            digest: ended.digest,
+            left_ms: 0,
+            age_ms: millis(now.saturating_duration_since(ended.at)),
+            tasks: Vec::new(),
+            ran: true,
+            answer: ended.answer.clone(),
+        });
+        let mut jobs: Vec<JobRecord> = running.chain(ended).collect();
+        jobs.sort_by(|a, b| a.request.key.cmp(&b.request.key));
+        frames(self.partition, self.epoch, &jobs)
+    }
+
+    /// Takes over a table that the owner before has sent.
+    pub(super) fn import(&mut self, jobs: Vec<JobRecord>, cx: &mut Cx<'_>) -> Vec<AgentId> {
+        self.phase = Phase::Open;
+        let mut holders = Vec::new();
+        for record in jobs {
+            if record.tasks.is_empty() {
+                self.import_ended(record, cx);
+            } else {
+                self.import_running(record, &mut holders, cx);
+            }
+        }
+        holders.sort();
+        holders.dedup();
+        holders
+    }
+
+    fn import_ended(&mut self, record: JobRecord, cx: &Cx<'_>) {
+        let age = Duration::from_millis(record.age_ms);
+        let at = cx.now.checked_sub(age).unwrap_or(cx.now);
+        let key = record.request.key;
+        self.keep(&key, record.digest, record.answer, at);
+        self.recorded(&key);
+    }
+
+    fn import_running(&mut self, record: JobRecord, holders: &mut Vec<AgentId>, cx: &mut Cx<'_>) {
+        let mut job = job_from(record, cx.now);
+        let placed = job.tasks.iter().filter_map(Task::placement);
+        holders.extend(placed.map(|p| p.agent.clone()));
+        if job.stage == Stage::Running {
+            let waiting = job.queue_where(|state| *state == TaskState::Idle);
+            cx.effects.push(Effect::Enqueue(waiting));
+        }
+        let key = job.key.clone();
+        self.wake_at(job.deadline, &key);
+        self.jobs.insert(key, job);
+    }
+}
+
+fn running_record(job: &Job, now: Instant) -> JobRecord {
+    let mut request = empty_request(job.key.clone(), job.team.clone(), job.repeatable);
+    request.tasks.clone_from(&job.payloads);
+    let left = millis(job.deadline.saturating_duration_since(now));
+    request.deadline_ms = u32::try_from(left).unwrap_or(u32::MAX);
+    JobRecord {
+        left_ms: request.deadline_ms,
+        request,
+        digest: job.digest,
+        age_ms: millis(now.saturating_duration_since(job.arrived)),
+        tasks: job.tasks.iter().map(|t| task_record(&t.state)).collect(),
+        ran: job.ran,
+        answer: None,
+    }
+}
+
+fn task_record(state: &TaskState) -> TaskRecord {
+    match state {
+        TaskState::Idle | TaskState::Waiting | TaskState::Pausing(_) => TaskRecord::Waiting,
+        TaskState::Placed(placement) => TaskRecord::Placed {
+            attempt: placement.attempt,
+            worker: placement.agent.worker.clone(),
+            incarnation: placement.agent.incarnation,
+        },
+        TaskState::Uncertain => TaskRecord::Placed {
+            attempt: UNCERTAIN_ATTEMPT,
+            worker: Name::from(""),
+            incarnation: 0,
+        },
+        TaskState::Done(result) => TaskRecord::Ended(TaskOutcome::Done(result.clone())),
+    }
+}
+
+fn job_from(record: JobRecord, now: Instant) -> Job {
+    let stage = if record.request.tasks.is_empty() {
+        Stage::Recovered
+    } else {
+        Stage::Running
+    };
+    let age = Duration::from_millis(record.age_ms);
+    let tasks: Vec<Task> = record.tasks.into_iter().map(task_from).collect();
+    Job {
+        key: record.request.key,
+        team: record.request.team,
+        repeatable: record.request.repeatable,
+        digest: record.digest,
+        payloads: record.request.tasks,
+        ran: record.ran,
+        tasks,
+        stage,
+        arrived: now.checked_sub(age).unwrap_or(now),
+        deadline: now + Duration::from_millis(record.left_ms.into()),
+        waiters: Waiters::new(),
+        agents: std::collections::BTreeSet::new(),
+    }
+}
+
+fn task_from(record: TaskRecord) -> Task {
+    let state = match record {
+        TaskRecord::Waiting | TaskRecord::Ended(TaskOutcome::NotStarted(_)) => TaskState::Idle,
+        TaskRecord::Placed { attempt, .. } if attempt == UNCERTAIN_ATTEMPT => TaskState::Uncertain,
+        TaskRecord::Placed {
+            attempt,
+            worker,
+            incarnation,
+        } => placed(attempt, worker, incarnation),
+        TaskRecord::Ended(TaskOutcome::Done(result)) => TaskState::Done(result),
+        TaskRecord::Ended(_) => TaskState::Uncertain,
+    };
+    Task::new(state)
+}
+
+fn placed(attempt: AttemptId, worker: Name, incarnation: u64) -> TaskState {
+    TaskState::Placed(Placement {
+        attempt,
+        agent: AgentId {
+            worker,
+            incarnation,
+        },
+        contact: Contact::Asking,
+    })
+}
+
+fn empty_request(key: masticcross_basics::JobKey, team: Name, repeatable: bool) -> JobRequest {
+    JobRequest {
+        key,
+        team,
+        repeatable,
+        deadline_ms: 0,
+        tasks: Vec::new(),
+    }
+}
+
+fn frames(
+    partition: Partition,
+    epoch: masticcross_basics::Epoch,
+    jobs: &[JobRecord],
+) -> Vec<Handover> {
+    let frame = |jobs: &[JobRecord], last| Handover {
+        partition,
+        epoch,
+        jobs: jobs.to_vec(),
+        last,
+    };
+    let mut frames: Vec<Handover> = jobs
+        .chunks(JOBS_PER_FRAME)
+        .map(|chunk| frame(chunk, false))
+        .collect();
+    match frames.last_mut() {
+        Some(last) => last.last = true,
+        None => frames.push(frame(&[], true)),
+    }
+    frames
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/masticcross-entry/src/owner/placement.rs
@@ -0,0 +1,253 @@
+//! Which task starts, and what the end of an attempt means.
+
+use masticcross_basics::timeline::{Event, EventKind};
+use masticcross_basics::{AttemptId, Code, JobKey, TaskIndex};
+use masticcross_wire::{JobAnswer, NotStartedReason, Refusal, TaskEnded, TaskOutcome};
+use tokio::time::Instant;
+
+use super::effect::Effect;
+use super::job::{Contact, Placement, Stage, TaskState};
+use super::shard::{Cx, Phase, Shard};
+use super::{AgentId, Grant};
+use crate::dispatch::Waiting;
+
+impl Shard {
+    /// Marks a waiting task as placed, if it may start.
+    pub(super) fn grant(
+        &mut self,
+        waiting: &Waiting,
+        agent: &AgentId,
+        contact: Contact,
+        seq: u64,
+        cx: &mut Cx<'_>,
+    ) -> Option<Grant> {
+        if !matches!(self.phase, Phase::Open) {
+            return None;
+        }
+        let epoch = self.epoch;
+        let job = self.jobs.get_mut(&waiting.key)?;
+        if job.stage != Stage::Running || job.deadline <= cx.now {
+            return None;
+        }
+        let payload = job.payloads.get(usize::from(waiting.index))?.clone();
+        let deadline = job.deadline;
+        let task = job.tasks.get_mut(usize::from(waiting.index))?;
+        if task.state != TaskState::Waiting {
+            return None;
+        }
+        let attempt = AttemptId { epoch, seq };
+        task.state = TaskState::Placed(Placement {
+            attempt,
+            agent: agent.clone(),
+            contact,
+        });
+        if let Contact::LostSince(since) = contact {
+            self.wake_at(since + cx.rules.fence, &waiting.key);
+        }
+        let event = Event::new(EventKind::Placed).job(&waiting.key);
+        cx.event(event.task(waiting.index, attempt).worker(&agent.worker));
+        Some(Grant {
+            epoch,
+            attempt,
+            payload,
+            deadline,
+        })
+    }
+
+    /// Takes over the end of an attempt. Ends of attempts that do not count any more are dropped.
+    pub(super) fn attempt_ended(&mut self, agent: &AgentId, ended: TaskEnded, cx: &mut Cx<'_>) {
+        match self.phase {
+            Phase::Closed => return,
+            Phase::Recovering(_) | Phase::Moving => {
+                self.held.push((agent.clone(), ended));
+                return;
+            }
+            Phase::Open => {}
+        }
+        if self.ended.get(&ended.key).is_some_and(|e| e.recorded) {
+            cx.effects.push(Effect::Release(agent.clone(), ended.key));
+            return;
+        }
+        let is_current = self.is_current(agent, &ended.key, ended.index, ended.attempt);
+        if is_current {
+            self.apply(agent, &ended.key, ended.index, ended.outcome, cx);
+        }
+    }
+
+    fn is_current(
+        &self,
+        agent: &AgentId,
+        key: &JobKey,
+        index: TaskIndex,
+        attempt: AttemptId,
+    ) -> bool {
+        let task = self
+            .jobs
+            .get(key)
+            .and_then(|j| j.tasks.get(usize::from(index)));
+        let placement = task.and_then(|t| t.placement());
+        placement.is_some_and(|p| p.attempt == attempt && p.agent == *agent)
+    }
+
+    /// Applies the outcome of the attempt that counts.
+    pub(super) fn apply(
+        &mut self,
+        agent: &AgentId,
+        key: &JobKey,
+        index: TaskIndex,
+        outcome: TaskOutcome,
+        cx: &mut Cx<'_>,
+    ) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        let Some(task) = job.tasks.get_mut(usize::from(index)) else {
+            return;
+        };
+        match outcome {
+            TaskOutcome::Done(result) => {
+                task.state = TaskState::Done(result);
+                job.agents.insert(agent.clone());
+                self.finish_if_complete(key, cx);
+            }
+            TaskOutcome::NotStarted(reason) => self.not_started(agent, key, index, reason, cx),
+            TaskOutcome::Failed(detail) => self.task_failed(agent, key, index, &detail, cx),
+            TaskOutcome::Stopped => {
+                job.agents.insert(agent.clone());
+                self.fail(key, Code::TaskFailed, "a task was stopped", cx);
+            }
+            TaskOutcome::ResultDropped => {
+                job.agents.insert(agent.clone());
+                self.fail(key, Code::ResultLost, "the result of a task was lost", cx);
+            }
+        }
+    }
+
+    /// Places a task again that provably did not start.
+    fn not_started(
+        &mut self,
+        agent: &AgentId,
+        key: &JobKey,
+        index: TaskIndex,
+        reason: NotStartedReason,
+        cx: &mut Cx<'_>,
+    ) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        let task = &mut job.tasks[usize::from(index)];
+        match reason {
+            NotStartedReason::Stopped | NotStartedReason::DeadlinePassed => {
+                task.state = TaskState::Idle;
+                return;
+            }
+            NotStartedReason::ViewStale
+            | NotStartedReason::OldEpoch
+            | NotStartedReason::ZoneOut
+            | NotStartedReason::NoBackend
+            | NotStartedReason::NoRoom
+            | NotStartedReason::ShuttingDown
+            | NotStartedReason::ConnectFailed => task.avoid(&agent.worker),
+        }
+        let pause = task.next_pause();
+        if pause.is_zero() {
+            self.place_again(key, index, cx);
+            return;
+        }
+        let until = cx.now + pause;
+        task.state = TaskState::Pausing(until);
+        self.wake_at(until, key);
+    }
+
+    /// Queues a task again, or leaves it until its payload is back.
+    pub(super) fn place_again(&mut self, key: &JobKey, index: TaskIndex, cx: &mut Cx<'_>) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        if job.stage == Stage::Running {
+            let waiting = job.queue(index);
+            cx.effects.push(Effect::Enqueue(vec![waiting]));
+        } else {
+            job.tasks[usize::from(index)].state = TaskState::Idle;
+        }
+    }
+
+    fn task_failed(
+        &mut self,
+        agent: &AgentId,
+        key: &JobKey,
+        index: TaskIndex,
+        detail: &str,
+        cx: &mut Cx<'_>,
+    ) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        job.ran = true;
+        job.agents.insert(agent.clone());
+        let may_retry = job.repeatable && job.stage == Stage::Running;
+        let task = &mut job.tasks[usize::from(index)];
+        task.failures = task.failures.saturating_add(1);
+        task.avoid(&agent.worker);
+        if may_retry && task.failures <= cx.rules.failure_retries {
+            self.reruns += 1;
+            self.place_again(key, index, cx);
+            return;
+        }
+        let code = if task.failures > 1 {
+            Code::TaskFailedRepeatedly
+        } else {
+            Code::TaskFailed
+        };
+        self.fail(key, code, &format!("task {index} failed: {detail}"), cx);
+    }
+
+    /// Looks at the jobs whose time has come.
+    pub(super) fn on_time(&mut self, cx: &mut Cx<'_>) {
+        if !matches!(self.phase, Phase::Open) {
+            return;
+        }
+        self.expire(cx);
+        while let Some((at, key)) = self.timers.first().cloned() {
+            if at > cx.now {
+                return;
+            }
+            self.timers.remove(&(at, key.clone()));
+            self.on_job_time(&key, cx);
+        }
+    }
+
+    fn on_job_time(&mut self, key: &JobKey, cx: &mut Cx<'_>) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        if job.deadline <= cx.now {
+            self.deadline_passed(key, cx);
+            return;
+        }
+        let now = cx.now;
+        let due = job.indexes(|state| matches!(state, TaskState::Pausing(at) if *at <= now));
+        for index in due {
+            self.place_again(key, index, cx);
+        }
+        self.judge_lost(key, cx);
+    }
+
+    fn deadline_passed(&mut self, key: &JobKey, cx: &mut Cx<'_>) {
+        let Some(job) = self.jobs.get(key) else {
+            return;
+        };
+        let detail = "the deadline passed before the job was complete";
+        let refusal = if job.may_have_run() || job.stage == Stage::Recovered {
+            Refusal::failed(Code::DeadlineExceeded, detail)
+        } else {
+            Refusal::not_run(Code::DeadlineExceeded, detail)
+        };
+        self.finish(key, JobAnswer::Refused(refusal), cx);
+    }
+
+    /// Returns when the fence of a loss at a time has passed.
+    pub(super) fn fence_end(since: Instant, cx: &Cx<'_>) -> Instant {
+        since + cx.rules.fence
+    }
+}
--- /dev/null
+++ b/crates/masticcross-entry/src/owner/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the decisions.
