--- a/crates/masticcross-entry/src/entry.rs
+++ b/crates/masticcross-entry/src/entry.rs
@@ -171,7 +171,8 @@
     pub async fn close(mut self) {
         self.draining.store(true, Ordering::Relaxed);
         self.peers.drain();
-        if timeout(self.drain_limit, self.owner.close()).await.is_err() {
+        let closed = timeout(self.drain_limit, self.owner.close(&self.peers));
+        if closed.await.is_err() {
             log::warn!(entry:% = self.identity.name; "partitions left at the end of the drain limit");
         }
         self.callers.close(self.drain_limit).await;
