Add the stand-in backend server

Cause: agents need a backend server to run tasks at, and once-only needs a place that sees every start. Conclusion: starts by task can be gathered from all backend servers.

--- /dev/null
+++ b/crates/masticcross-standins/src/backend/counts.rs
@@ -0,0 +1,110 @@
+//! Counts of starts by task.
+
+use std::collections::HashMap;
+
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use masticcross_basics::Digest;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// Tasks whose starts are told apart. Beyond it, further tasks are only counted in total.
+const MAX_TASKS: usize = 4_000_000;
+
+/// Length of one entry of the written list, in bytes.
+const ENTRY_BYTES: usize = 20;
+
+/// A task by service, job and position. Equal for all attempts of the task.
+pub type StartKey = Digest;
+
+/// Returns the key of a task.
+#[must_use]
+pub fn start_key(service: &str, job: &str, index: u64) -> StartKey {
+    Digest::of([service.as_bytes(), job.as_bytes(), &index.to_le_bytes()])
+}
+
+/// What a backend server has counted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Counts {
+    /// Tasks started in total.
+    pub starts: u64,
+    /// Tasks started more than once, by service, job and index.
+    pub started_more_than_once: u64,
+    /// Tasks running now.
+    pub running: u64,
+    /// Tasks that ended with a result.
+    pub ended: u64,
+    /// Tasks that ended with an error.
+    pub failed: u64,
+    /// Tasks that were stopped, or whose connection broke.
+    pub stopped: u64,
+    /// Tasks refused because all slots were in use.
+    pub over_slots: u64,
+    /// Tasks that are not told apart for lack of room.
+    pub untracked: u64,
+}
+
+/// Starts of each task.
+#[derive(Debug, Default)]
+pub struct StartTable {
+    starts: HashMap<StartKey, u32>,
+}
+
+impl StartTable {
+    /// Counts a start.
+    pub fn add(&mut self, key: StartKey, counts: &mut Counts) {
+        counts.starts += 1;
+        if self.starts.len() >= MAX_TASKS && !self.starts.contains_key(&key) {
+            counts.untracked += 1;
+            return;
+        }
+        let starts = self.starts.entry(key).or_default();
+        *starts = starts.saturating_add(1);
+        if *starts == 2 {
+            counts.started_more_than_once += 1;
+        }
+    }
+
+    /// Copies the starts of all tasks.
+    pub fn list(&self) -> StartList {
+        StartList(self.starts.iter().map(|(key, n)| (*key, *n)).collect())
+    }
+}
+
+/// The list cannot be read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("the list of starts has a length of {0} bytes, no multiple of {ENTRY_BYTES}")]
+pub struct StartListError(pub usize);
+
+/// Starts of each task, in no order.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct StartList(pub Vec<(StartKey, u32)>);
+
+impl StartList {
+    /// Writes the list in binary form.
+    #[must_use]
+    pub fn encode(&self) -> Bytes {
+        let mut buf = BytesMut::with_capacity(self.0.len() * ENTRY_BYTES);
+        for (key, starts) in &self.0 {
+            buf.put_u64_le(key.0[0]);
+            buf.put_u64_le(key.0[1]);
+            buf.put_u32_le(*starts);
+        }
+        buf.freeze()
+    }
+
+    /// Reads the binary form.
+    ///
+    /// # Errors
+    /// Fails if the length is not that of a list.
+    pub fn decode(mut buf: Bytes) -> std::result::Result<Self, StartListError> {
+        if !buf.len().is_multiple_of(ENTRY_BYTES) {
+            return Err(StartListError(buf.len()));
+        }
+        let mut list = Vec::with_capacity(buf.len() / ENTRY_BYTES);
+        while buf.has_remaining() {
+            let key = Digest([buf.get_u64_le(), buf.get_u64_le()]);
+            list.push((key, buf.get_u32_le()));
+        }
+        Ok(Self(list))
+    }
+}
--- a/crates/masticcross-standins/src/lib.rs
+++ b/crates/masticcross-standins/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for the platform and for backend servers. Not shipped.
 //!
 //! - [`log`]: the platform's log in memory, with faults that tests set, and its HTTP server.
+//! - [`backend`]: a backend server that waits instead of working, and counts what it starts.
 //! - [`http`]: HTTP plumbing that the stand-ins share.
 //! - [`signal`]: start and stop as processes.
 //!
@@ -14,6 +15,7 @@
 //! # drop(cut_off);
 //! ```
 
+pub mod backend;
 pub mod http;
 pub mod log;
 pub mod signal;
