--- a/crates/masticcross-basics/src/logging.rs
+++ b/crates/masticcross-basics/src/logging.rs
@@ -30,7 +30,12 @@
 
 /// Sets up logging to standard error. `RUST_LOG` selects the levels; the default is `info`.
 pub fn init(format: LogFormat) {
-    let env = env_logger::Env::default().default_filter_or("info");
+    init_with_default(format, "info");
+}
+
+/// Sets up logging to standard error with another default for `RUST_LOG`.
+pub fn init_with_default(format: LogFormat, default_levels: &str) {
+    let env = env_logger::Env::default().default_filter_or(default_levels);
     let mut builder = env_logger::Builder::from_env(env);
     if format == LogFormat::Json {
         builder.format(|buf, record| writeln!(buf, "{}", json_line(record)));
