--- a/crates/masticcross-entry/src/dispatch/mod.rs
+++ b/crates/masticcross-entry/src/dispatch/mod.rs
@@ -110,7 +110,9 @@
         for (service, tasks) in by_service {
             let handle = self.service_or_new(&service);
             let mut shard = handle.shard.lock();
-            tasks.into_iter().for_each(|task| shard.push(task));
+            for task in tasks {
+                shard.push(task);
+            }
             drop(shard);
             handle.wake();
         }
--- a/crates/masticcross-http/tests/server.rs
+++ b/crates/masticcross-http/tests/server.rs
@@ -123,7 +123,7 @@
 #[tokio::test]
 async fn refuses_a_flood_of_headers() {
     let server = start(HttpLimits::default()).await;
-    let headers: String = (0..1_000).map(|i| format!("x-{i}: 1\r\n")).collect();
+    let headers = "x-flood: 1\r\n".repeat(1_000);
     let text = format!("GET /hello HTTP/1.1\r\nhost: x\r\n{headers}\r\n");
     let reply = exchange(&server, &text).await;
     assert!(reply.starts_with("HTTP/1.1 431"), "{reply}");
--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use bpaf::{Parser, construct, long};
-use eyre::{Result, WrapErr, ensure};
+use eyre::{Result, ensure};
 use masticcross_basics::logging::{self, LogFormat};
 use tokio::time::{Instant, sleep_until};
 
-use super::{Command, stop_signal};
+use super::{Command, runtime, stop_signal};
 use crate::demo::cluster::Ports;
 use crate::demo::{Cluster, Deployment, Fault, sample};
 
@@ -66,8 +66,7 @@
 /// Fails if a part cannot start or the sample job's answer is not whole.
 pub fn execute(args: Args) -> Result<()> {
     logging::init_with_default(LogFormat::Text, "warn");
-    let runtime = tokio::runtime::Runtime::new().wrap_err("cannot start the runtime")?;
-    runtime.block_on(run(args))
+    runtime()?.block_on(run(args))
 }
 
 async fn run(args: Args) -> Result<()> {
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,9 +1,10 @@
 //! The subcommands, one module each.
 
 pub mod demo;
+pub mod publish;
 pub mod serve;
 
-use eyre::Result;
+use eyre::{Result, WrapErr};
 
 /// A parsed command line.
 #[derive(Debug, Clone)]
@@ -12,6 +13,12 @@
     Serve(serve::Args),
     /// Run the whole system in one process.
     Demo(demo::Args),
+    /// Publish a configuration document.
+    Publish(publish::PublishArgs),
+    /// Take an availability zone out of service.
+    Drain(publish::ZoneArgs),
+    /// Bring an availability zone back into service.
+    Restore(publish::ZoneArgs),
 }
 
 impl Command {
@@ -23,10 +30,21 @@
         match self {
             Self::Serve(args) => serve::execute(args),
             Self::Demo(args) => demo::execute(args),
+            Self::Publish(args) => publish::execute(&args),
+            Self::Drain(args) => publish::execute_zone(&args, false),
+            Self::Restore(args) => publish::execute_zone(&args, true),
         }
     }
 }
 
+/// Starts the runtime of a command.
+///
+/// # Errors
+/// Fails if the system has no threads left.
+pub fn runtime() -> Result<tokio::runtime::Runtime> {
+    tokio::runtime::Runtime::new().wrap_err("cannot start the runtime")
+}
+
 /// Waits for the signal to stop: SIGTERM or an interrupt from the terminal.
 ///
 /// # Errors
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -3,12 +3,12 @@
 use std::sync::Arc;
 
 use bpaf::Parser;
-use eyre::{Result, WrapErr};
+use eyre::Result;
 use masticcross_basics::logging;
 use masticcross_entry::{Entry, Settings, settings};
 use masticcross_log::{HttpLog, HttpLogSettings};
 
-use super::{Command, stop_signal};
+use super::{Command, runtime, stop_signal};
 
 /// Arguments of the command.
 pub type Args = Settings;
@@ -29,8 +29,7 @@
 /// Names the port that cannot be bound.
 pub fn execute(settings: Args) -> Result<()> {
     logging::init(settings.log_format);
-    let runtime = tokio::runtime::Runtime::new().wrap_err("cannot start the runtime")?;
-    runtime.block_on(async {
+    runtime()?.block_on(async {
         let log = HttpLogSettings::new(settings.log.to_string(), settings.name.clone());
         let log = Arc::new(HttpLog::new(log));
         let entry = Entry::start(settings, log).await?;
--- a/src/demo/cluster.rs
+++ b/src/demo/cluster.rs
@@ -99,7 +99,7 @@
     pub async fn start(deployment: Deployment, ports: Ports) -> Result<Self> {
         let log = MemoryLog::new(MemoryLogSettings::default());
         let published = publish(&log, 0, AUTHOR, deployment.document()).await?;
-        if !matches!(published, PublishOutcome::Accepted { .. }) {
+        if !matches!(published, PublishOutcome::Accepted(_)) {
             bail!("the first configuration was not accepted: {published:?}");
         }
         let mut cluster = Self {
@@ -227,7 +227,7 @@
         let text = set_zone_in_service(&history.config.text, zone, in_service)?;
         let base = history.config.version;
         match publish(&self.log, base, AUTHOR, &text).await? {
-            PublishOutcome::Accepted { .. } => Ok(()),
+            PublishOutcome::Accepted(_) => Ok(()),
             other => Err(eyre!("the configuration was not accepted: {other:?}")),
         }
     }
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,20 +3,46 @@
 mod cmd;
 mod demo;
 
-use bpaf::{Parser, construct};
+use std::process::ExitCode;
+
+use bpaf::{Args, Parser, construct};
 
 use cmd::Command;
 
-fn main() -> eyre::Result<()> {
-    let command = command()
-        .to_options()
-        .version(env!("CARGO_PKG_VERSION"))
-        .run();
-    command.execute()
+/// Exit code for arguments that are not accepted.
+const BAD_ARGUMENTS: u8 = 2;
+
+/// Width of messages about arguments, in columns.
+const MESSAGE_WIDTH: usize = 100;
+
+fn main() -> ExitCode {
+    let options = command().to_options().version(env!("CARGO_PKG_VERSION"));
+    let command = match options.run_inner(Args::current_args()) {
+        Ok(command) => command,
+        Err(failure) => {
+            failure.print_message(MESSAGE_WIDTH);
+            let is_help = failure.exit_code() == 0;
+            return if is_help {
+                ExitCode::SUCCESS
+            } else {
+                ExitCode::from(BAD_ARGUMENTS)
+            };
+        }
+    };
+    match command.execute() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("Error: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
 }
 
 fn command() -> impl Parser<Command> {
     let serve = cmd::serve::command();
     let demo = cmd::demo::command();
-    construct!([serve, demo])
+    let publish = cmd::publish::publish_command();
+    let drain = cmd::publish::drain_command();
+    let restore = cmd::publish::restore_command();
+    construct!([serve, demo, publish, drain, restore])
 }
