Add the load generator

Cause: what callers see must be measured and every answer checked. Conclusion: ready to be wired into the command line.

--- a/crates/masticcross-standins/src/backend/mod.rs
+++ b/crates/masticcross-standins/src/backend/mod.rs
@@ -17,7 +17,7 @@
 use tokio::net::TcpListener;
 
 pub use behaviour::Behaviour;
-pub use counts::{Counts, StartKey, StartList, StartListError};
+pub use counts::{Counts, StartKey, StartList, StartListError, start_key};
 
 use crate::http::server::Server;
 use announce::Announcer;
--- a/crates/masticcross-standins/src/lib.rs
+++ b/crates/masticcross-standins/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for the platform and for backend servers. Not shipped.
 //!
+//! - [`load`]: the load generator.
 //! - [`log`]: the platform's log in memory, with faults that tests set, and its HTTP server.
 //! - [`backend`]: a backend server that waits instead of working, and counts what it starts.
 //! - [`http`]: HTTP plumbing that the stand-ins share.
@@ -17,5 +18,6 @@
 
 pub mod backend;
 pub mod http;
+pub mod load;
 pub mod log;
 pub mod signal;
--- /dev/null
+++ b/crates/masticcross-standins/src/load/jobs.rs
@@ -0,0 +1,104 @@
+//! What callers were told about each job, over all its submissions.
+
+use std::collections::BTreeMap;
+
+use masticcross_basics::{Digest, Name};
+
+use super::caller::Answer;
+use super::submission::Submission;
+
+/// Jobs that are kept; of further ones only the answers are counted.
+const MAX_JOBS: usize = 1_000_000;
+
+/// One job.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct JobOutcome {
+    /// Service that runs it.
+    pub service: Name,
+    /// Number of tasks.
+    pub tasks: usize,
+    /// False if its tasks must run at most once.
+    pub repeatable: bool,
+    /// Submissions sent.
+    pub submissions: u32,
+    /// Submissions whose answer said "not run".
+    pub not_run: u32,
+    /// Digest of the first whole answer.
+    pub digest: Option<Digest>,
+}
+
+impl JobOutcome {
+    /// Returns true if all callers were told that nothing ran.
+    #[must_use]
+    pub fn is_told_not_run(&self) -> bool {
+        self.submissions > 0 && self.not_run == self.submissions
+    }
+}
+
+/// Jobs by id.
+#[derive(Debug, Default)]
+pub struct JobTable {
+    jobs: BTreeMap<String, JobOutcome>,
+    untracked: u64,
+}
+
+impl JobTable {
+    /// Notes that a submission was sent.
+    pub fn sent(&mut self, submission: &Submission) {
+        if let Some(job) = self.jobs.get_mut(&submission.job) {
+            job.submissions += 1;
+            return;
+        }
+        if self.jobs.len() >= MAX_JOBS {
+            self.untracked += 1;
+            return;
+        }
+        let outcome = JobOutcome {
+            service: submission.service.clone(),
+            tasks: submission.tasks.len(),
+            repeatable: submission.repeatable,
+            submissions: 1,
+            not_run: 0,
+            digest: None,
+        };
+        self.jobs.insert(submission.job.clone(), outcome);
+    }
+
+    /// Notes an answer. Returns false if it differs from an earlier whole answer of the same job.
+    pub fn answered(&mut self, submission: &Submission, answer: &Answer) -> bool {
+        let Some(job) = self.jobs.get_mut(&submission.job) else {
+            return true;
+        };
+        match answer {
+            Answer::Complete { digest } => *job.digest.get_or_insert(*digest) == *digest,
+            Answer::Refused { not_run, .. } => {
+                job.not_run += u32::from(*not_run);
+                true
+            }
+            _ => true,
+        }
+    }
+
+    /// Lists the jobs.
+    pub fn iter(&self) -> impl Iterator<Item = (&str, &JobOutcome)> {
+        self.jobs.iter().map(|(id, job)| (id.as_str(), job))
+    }
+
+    /// Returns the number of jobs.
+    #[must_use]
+    pub fn len(&self) -> u64 {
+        self.jobs.len() as u64
+    }
+
+    /// Returns true if there is no job.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.jobs.is_empty()
+    }
+
+    /// Returns the number of submissions of jobs that are not kept.
+    #[must_use]
+    pub fn untracked(&self) -> u64 {
+        self.untracked
+    }
+}
--- /dev/null
+++ b/crates/masticcross-standins/src/load/report.rs
@@ -0,0 +1,264 @@
+//! Figures of a run.
+
+mod table;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use masticcross_basics::Code;
+use serde::Serialize;
+
+use super::caller::{Answer, Answered};
+use super::starts::StartFigures;
+use super::submission::Submission;
+
+/// Largest recorded value: an hour in microseconds, or a ratio of 3.6 million in thousandths.
+const MAX_VALUE: u64 = 3_600_000_000;
+
+/// Digits kept of recorded values.
+const DIGITS: u8 = 3;
+
+/// Values in thousandths of their unit.
+const THOUSANDTHS: f64 = 1000.0;
+
+/// Values at some percentiles.
+#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize)]
+pub struct Percentiles {
+    /// Number of values.
+    pub count: u64,
+    /// Median.
+    pub p50: f64,
+    /// 95th percentile.
+    pub p95: f64,
+    /// 99th percentile.
+    pub p99: f64,
+    /// 99.9th percentile.
+    pub p999: f64,
+    /// Largest.
+    pub max: f64,
+}
+
+/// Answers with one code.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Refused {
+    /// Result code.
+    pub code: u16,
+    /// Short title of the code.
+    pub title: &'static str,
+    /// Whether the answers said that nothing ran.
+    pub not_run: bool,
+    /// Number of answers.
+    pub count: u64,
+}
+
+/// What callers saw in one run.
+#[derive(Debug, Clone, PartialEq, Default, Serialize)]
+pub struct Report {
+    /// Seed of the run.
+    pub seed: u64,
+    /// Time from the first submission to the last answer, in seconds.
+    pub seconds: f64,
+    /// Jobs submitted.
+    pub jobs: u64,
+    /// Submissions, resubmissions included.
+    pub submissions: u64,
+    /// Resubmissions.
+    pub resubmissions: u64,
+    /// Tasks of the jobs.
+    pub tasks: u64,
+    /// Slots that the jobs need on average, at the rate at which they were submitted.
+    pub offered_slots: f64,
+    /// Submissions answered whole and right.
+    pub complete: u64,
+    /// Jobs completed a second, resubmissions not counted.
+    pub jobs_per_second: f64,
+    /// Tasks of these a second.
+    pub tasks_per_second: f64,
+    /// Response time of first submissions over the ideal, as a ratio.
+    pub over_ideal: Percentiles,
+    /// Response time of first submissions beyond the ideal, in milliseconds.
+    pub beyond_ideal_ms: Percentiles,
+    /// Refusals and failures by code.
+    pub refused: Vec<Refused>,
+    /// Answers with another number of results than tasks.
+    pub partial: u64,
+    /// Answers with results of other tasks.
+    pub wrong_values: u64,
+    /// Answers that could not be read.
+    pub malformed: u64,
+    /// Whole answers that differ from an earlier one of the same job.
+    pub differing: u64,
+    /// Submissions without an answer.
+    pub unanswered: u64,
+    /// Whole answers after the deadline.
+    pub late: u64,
+    /// Connections lost.
+    pub lost_connections: u64,
+    /// Submissions that were retried after a lost connection.
+    pub retried: u64,
+    /// Submissions sent later than due, for lack of connections.
+    pub delayed: u64,
+    /// Submissions of jobs beyond those that are compared.
+    pub untracked: u64,
+    /// Starts at the backend servers, if their addresses were given.
+    pub starts: Option<StartFigures>,
+}
+
+impl Report {
+    /// Returns true if an answer or a start broke a promise. Refusals break none.
+    #[must_use]
+    pub fn has_broken_promise(&self) -> bool {
+        let starts = self.starts.unwrap_or_default();
+        let wrong = self.partial + self.wrong_values + self.malformed + self.differing;
+        wrong + starts.doubled + starts.false_not_run > 0
+    }
+}
+
+/// Collects the figures of a run.
+#[derive(Debug)]
+pub struct Recorder {
+    report: Report,
+    work: Duration,
+    over_ideal: Histogram<u64>,
+    beyond_ideal: Histogram<u64>,
+    refused: BTreeMap<(u16, bool), u64>,
+    completed_jobs: u64,
+    completed_tasks: u64,
+}
+
+impl Recorder {
+    /// Starts to record.
+    #[must_use]
+    pub fn new(seed: u64) -> Self {
+        Self {
+            report: Report {
+                seed,
+                ..Report::default()
+            },
+            work: Duration::ZERO,
+            over_ideal: new_histogram(),
+            beyond_ideal: new_histogram(),
+            refused: BTreeMap::new(),
+            completed_jobs: 0,
+            completed_tasks: 0,
+        }
+    }
+
+    /// Notes that a submission is sent.
+    pub fn sent(&mut self, submission: &Submission, delayed: bool) {
+        self.report.submissions += 1;
+        self.report.delayed += u64::from(delayed);
+        if submission.copy > 0 {
+            self.report.resubmissions += 1;
+            return;
+        }
+        self.report.tasks += submission.tasks.len() as u64;
+        self.work += submission.work();
+    }
+
+    /// Notes an answer, and whether it agrees with earlier ones of the same job.
+    pub fn answered(&mut self, submission: &Submission, answered: &Answered, agrees: bool) {
+        let report = &mut self.report;
+        report.lost_connections += u64::from(answered.lost_connections);
+        report.retried += u64::from(answered.lost_connections > 0);
+        report.differing += u64::from(!agrees);
+        match answered.answer {
+            Answer::Complete { .. } => self.completed(submission, answered.elapsed),
+            Answer::Partial => report.partial += 1,
+            Answer::WrongValue => report.wrong_values += 1,
+            Answer::Malformed { .. } => report.malformed += 1,
+            Answer::None => report.unanswered += 1,
+            Answer::Refused { code, not_run } => {
+                *self.refused.entry((code, not_run)).or_default() += 1;
+            }
+        }
+    }
+
+    /// Notes submissions that were given up at the end of the run.
+    pub fn given_up(&mut self, count: u64) {
+        self.report.unanswered += count;
+    }
+
+    fn completed(&mut self, submission: &Submission, elapsed: Duration) {
+        self.report.complete += 1;
+        self.report.late += u64::from(elapsed > submission.deadline);
+        if submission.copy > 0 {
+            return;
+        }
+        self.completed_jobs += 1;
+        self.completed_tasks += submission.tasks.len() as u64;
+        let ideal = submission.ideal();
+        let beyond = elapsed.saturating_sub(ideal).as_micros();
+        record(&mut self.beyond_ideal, beyond);
+        if !ideal.is_zero() {
+            let ratio = elapsed.as_micros().saturating_mul(1000) / ideal.as_micros();
+            record(&mut self.over_ideal, ratio);
+        }
+    }
+
+    /// Ends the record.
+    #[must_use]
+    pub fn finish(
+        self,
+        offered_for: Duration,
+        elapsed: Duration,
+        jobs: u64,
+        untracked: u64,
+        starts: Option<StartFigures>,
+    ) -> Report {
+        let refused = self.refused.into_iter();
+        let per_second = |count: u64| as_f64(count) / elapsed.as_secs_f64().max(f64::EPSILON);
+        Report {
+            seconds: elapsed.as_secs_f64(),
+            jobs,
+            untracked,
+            offered_slots: self.work.as_secs_f64() / offered_for.as_secs_f64().max(f64::EPSILON),
+            jobs_per_second: per_second(self.completed_jobs),
+            tasks_per_second: per_second(self.completed_tasks),
+            over_ideal: percentiles(&self.over_ideal),
+            beyond_ideal_ms: percentiles(&self.beyond_ideal),
+            refused: refused
+                .map(|((code, not_run), count)| Refused {
+                    code,
+                    title: Code::try_from(code).map_or("unknown code", Code::title),
+                    not_run,
+                    count,
+                })
+                .collect(),
+            starts,
+            ..self.report
+        }
+    }
+}
+
+fn new_histogram() -> Histogram<u64> {
+    // The bounds are constants that the library accepts.
+    Histogram::new_with_bounds(1, MAX_VALUE, DIGITS).unwrap_or_else(|_| unreachable!())
+}
+
+fn record(histogram: &mut Histogram<u64>, value: u128) {
+    let value = u64::try_from(value).unwrap_or(MAX_VALUE);
+    histogram.saturating_record(value);
+}
+
+fn percentiles(histogram: &Histogram<u64>) -> Percentiles {
+    let at = |quantile| as_f64(histogram.value_at_quantile(quantile)) / THOUSANDTHS;
+    if histogram.is_empty() {
+        return Percentiles::default();
+    }
+    Percentiles {
+        count: histogram.len(),
+        p50: at(0.5),
+        p95: at(0.95),
+        p99: at(0.99),
+        p999: at(0.999),
+        max: as_f64(histogram.max()) / THOUSANDTHS,
+    }
+}
+
+/// Converts a count that is far below the numbers which lose digits.
+#[allow(clippy::cast_precision_loss)]
+fn as_f64(count: u64) -> f64 {
+    count as f64
+}
--- /dev/null
+++ b/crates/masticcross-standins/src/load/tests.rs
@@ -0,0 +1,334 @@
+//! Tests of arrivals, traces, checks of answers and the arithmetic of the report.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::StatusCode;
+use masticcross_basics::{Digest, Name};
+use serde_json::json;
+
+use super::arrivals::{Arrivals, Phase, Plan};
+use super::caller::{Answer, Answered, check};
+use super::days::{Day, phases};
+use super::jobs::JobTable;
+use super::mix::{Deployment, Mix, Span};
+use super::report::{Recorder, Report};
+use super::starts::{StartFigures, Starts};
+use super::submission::{Submission, TaskSpec};
+use super::trace;
+use crate::backend::{StartList, start_key};
+use crate::http::client::Response;
+
+fn plan(seed: u64) -> Plan {
+    Plan {
+        phases: vec![Phase {
+            length: Duration::from_secs(100),
+            jobs_per_second: 20.0,
+            mix: Mix::preset(Deployment::Guild),
+        }],
+        resubmitted: 0.25,
+        seed,
+        prefix: "t".to_owned(),
+    }
+}
+
+fn submission(job: &str, copy: u32, run_ms: &[u32]) -> Submission {
+    let task = |(value, ms): (u64, &u32)| TaskSpec { ms: *ms, value };
+    Submission {
+        at: Duration::ZERO,
+        job: job.to_owned(),
+        copy,
+        service: Name::from("quote-desk"),
+        team: Name::from("desk"),
+        repeatable: false,
+        deadline: Duration::from_secs(1),
+        tasks: (10..).zip(run_ms).map(task).collect(),
+    }
+}
+
+fn answered(answer: Answer, ms: u64) -> Answered {
+    Answered {
+        answer,
+        lost_connections: 0,
+        elapsed: Duration::from_millis(ms),
+    }
+}
+
+fn complete(text: &str) -> Answer {
+    let digest = Digest::of([text.as_bytes()]);
+    Answer::Complete { digest }
+}
+
+fn refused(not_run: bool) -> Answer {
+    Answer::Refused {
+        code: 2001,
+        not_run,
+    }
+}
+
+#[test]
+fn arrivals_repeat_with_the_seed() {
+    let first: Vec<_> = Arrivals::new(plan(7)).collect();
+    let second: Vec<_> = Arrivals::new(plan(7)).collect();
+    assert_eq!(first, second);
+    let other: Vec<_> = Arrivals::new(plan(8)).collect();
+    assert_ne!(first, other);
+}
+
+#[test]
+fn arrivals_keep_rate_order_and_share_of_resubmissions() {
+    let all: Vec<_> = Arrivals::new(plan(7)).collect();
+    assert!(all.is_sorted_by_key(|s| s.at));
+    let firsts = all.iter().filter(|s| s.copy == 0).count();
+    let seconds = all.len() - firsts;
+    assert!((1800..2200).contains(&firsts), "{firsts} jobs");
+    assert!((400..600).contains(&seconds), "{seconds} resubmissions");
+    for second in all.iter().filter(|s| s.copy == 1) {
+        let first = all.iter().find(|s| s.job == second.job).expect("first");
+        assert_eq!((first.copy, &first.tasks), (0, &second.tasks));
+        assert_ne!(first.entry(0, 3), second.entry(0, 3));
+    }
+}
+
+#[test]
+fn burst_has_more_arrivals_for_two_seconds() {
+    let plan = Plan {
+        phases: phases(Day::Burst, Deployment::Guild),
+        ..plan(3)
+    };
+    let in_span = |from, to| {
+        let arrivals = Arrivals::new(plan.clone());
+        let inside = arrivals.filter(|s| s.copy == 0 && (from..to).contains(&s.at.as_secs()));
+        inside.count()
+    };
+    let (calm, burst) = (in_span(0, 20), in_span(20, 22));
+    assert!((70..130).contains(&calm), "{calm} in 20 s");
+    assert!((70..130).contains(&burst), "{burst} in 2 s");
+}
+
+#[test]
+fn each_day_has_jobs_within_the_limits() {
+    for deployment in [Deployment::Guild, Deployment::JalSeva] {
+        for day in [Day::Calm, Day::Burst, Day::Advisory] {
+            let plan = Plan {
+                phases: phases(day, deployment),
+                ..plan(1)
+            };
+            for job in Arrivals::new(plan) {
+                assert!((1..=130).contains(&job.tasks.len()));
+                assert!(job.tasks.iter().all(|t| (50..=8000).contains(&t.ms)));
+            }
+        }
+    }
+}
+
+/// Names cases of a text and the range it means.
+macro_rules! span_cases {
+    ($($name:ident: $text:literal => $expected:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                assert_eq!($text.parse::<Span>().ok(), $expected);
+            }
+        )*
+    };
+}
+
+span_cases! {
+    span_of_one_number: "5" => Some(Span::new(5..=5));
+    span_of_two_numbers: "1-130" => Some(Span::new(1..=130));
+    span_in_wrong_order: "9-1" => None;
+    span_without_number: "-" => None;
+}
+
+#[test]
+fn trace_is_read_as_written() {
+    let mut written: Vec<_> = Arrivals::new(plan(5)).take(50).collect();
+    for submission in &mut written {
+        // A trace has whole milliseconds.
+        let ms = u64::try_from(submission.at.as_millis()).expect("short");
+        submission.at = Duration::from_millis(ms);
+    }
+    let mut file = Vec::new();
+    let lines = trace::write(&mut file, written.iter().cloned()).expect("write");
+    assert_eq!(lines, 50);
+    assert_eq!(trace::read(file.as_slice()).expect("read"), written);
+}
+
+const LINE: &str = r#"{"at_ms":5,"job":"a","service":"s","team":"t","deadline_ms":9,"tasks":[{"ms":1,"value":2}]}"#;
+
+/// Names cases of a second line of a trace and a part of the error it gives.
+macro_rules! trace_cases {
+    ($($name:ident: $from:literal -> $to:literal => $expected:literal;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let text = format!("{LINE}\n\n{}\n", LINE.replace($from, $to));
+                let error = trace::read(text.as_bytes()).expect_err("error").to_string();
+                assert!(error.contains("line 3") && error.contains($expected), "{error}");
+            }
+        )*
+    };
+}
+
+trace_cases! {
+    trace_out_of_order: "\"at_ms\":5" -> "\"at_ms\":4" => "at_ms";
+    trace_with_bad_job_id: "\"a\"" -> "\"a b\"" => "job";
+    trace_with_bad_team: "\"t\"" -> "\"\"" => "team";
+    trace_without_task: "{\"ms\":1,\"value\":2}" -> "" => "tasks";
+    trace_with_unknown_field: "at_ms" -> "after_ms" => "after_ms";
+    trace_with_endless_deadline: "\"deadline_ms\":9" -> "\"deadline_ms\":999999999999" => "deadline_ms";
+}
+
+/// Names cases of a response to a job of two tasks and the answer it counts as.
+macro_rules! answer_cases {
+    ($($name:ident: $status:literal, $body:expr => $expected:pat,)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let body = Bytes::from($body.to_string());
+                let status = StatusCode::from_u16($status).expect("status");
+                let answer = check(&submission("a", 0, &[1, 1]), &Response { status, body });
+                assert!(matches!(answer, $expected), "got {answer:?}");
+            }
+        )*
+    };
+}
+
+answer_cases! {
+    whole_answer: 200, json!({"job": "a", "results": [{"value": 10, "worker": "w"}, {"value": 11}]})
+        => Answer::Complete { .. },
+    short_answer: 200, json!({"results": [{"value": 10}]}) => Answer::Partial,
+    long_answer: 200, json!({"results": [{"value": 10}, {"value": 11}, {"value": 12}]})
+        => Answer::Partial,
+    swapped_answer: 200, json!({"results": [{"value": 11}, {"value": 10}]}) => Answer::WrongValue,
+    answer_without_value: 200, json!({"results": [{"value": 10}, null]}) => Answer::WrongValue,
+    answer_without_results: 200, json!({}) => Answer::Malformed { status: 200 },
+    refusal: 503, json!({"code": 2001, "not_run": true, "detail": ""})
+        => Answer::Refused { code: 2001, not_run: true },
+    failure: 502, json!({"code": 3001, "not_run": false})
+        => Answer::Refused { code: 3001, not_run: false },
+    problem_without_not_run: 503, json!({"code": 2001}) => Answer::Malformed { status: 503 },
+}
+
+#[test]
+fn report_adds_up() {
+    let mut recorder = Recorder::new(1);
+    let first = submission("a", 0, &[100, 50]);
+    let again = submission("a", 1, &[100, 50]);
+    for submission in [&first, &again] {
+        recorder.sent(submission, false);
+    }
+    recorder.answered(&first, &answered(complete("x"), 110), true);
+    recorder.answered(&again, &answered(complete("y"), 3000), false);
+    let outcomes = [
+        refused(true),
+        refused(true),
+        refused(false),
+        Answer::Partial,
+    ];
+    for answer in outcomes
+        .into_iter()
+        .chain([Answer::WrongValue, Answer::None])
+    {
+        let other = submission("b", 0, &[10]);
+        recorder.sent(&other, true);
+        let mut answered = answered(answer, 5);
+        answered.lost_connections = 2;
+        recorder.answered(&other, &answered, true);
+    }
+    recorder.given_up(3);
+    let report = recorder.finish(Duration::from_secs(2), Duration::from_secs(4), 2, 0, None);
+    assert_eq!(
+        (report.submissions, report.resubmissions, report.tasks),
+        (8, 1, 8)
+    );
+    assert_eq!((report.complete, report.late, report.differing), (2, 1, 1));
+    assert_eq!(
+        (report.partial, report.wrong_values, report.unanswered),
+        (1, 1, 4)
+    );
+    assert_eq!(
+        (report.lost_connections, report.retried, report.delayed),
+        (12, 6, 6)
+    );
+    let counts: Vec<_> = report
+        .refused
+        .iter()
+        .map(|r| (r.not_run, r.count))
+        .collect();
+    assert_eq!(counts, [(false, 1), (true, 2)]);
+    assert_close(report.jobs_per_second, 0.25);
+    assert_close(report.tasks_per_second, 0.5);
+    assert_close(report.offered_slots, 0.105);
+    assert_eq!(report.over_ideal.count, 1);
+    assert_close(report.over_ideal.p50, 1.1);
+    assert_close(report.beyond_ideal_ms.p50, 10.0);
+    assert!(report.has_broken_promise());
+    assert!(report.to_string().contains("p99.9"));
+}
+
+fn assert_close(value: f64, expected: f64) {
+    let error = (value - expected).abs() / expected;
+    assert!(error < 0.002, "{value} is not {expected}");
+}
+
+#[test]
+fn empty_report_is_written() {
+    let report = Recorder::new(1).finish(Duration::ZERO, Duration::ZERO, 0, 0, None);
+    assert!(!report.has_broken_promise());
+    assert_eq!(
+        report,
+        Report {
+            seed: 1,
+            ..Report::default()
+        }
+    );
+    assert!(serde_json::to_string(&report).is_ok());
+}
+
+#[test]
+fn answers_of_one_job_must_agree() {
+    let mut jobs = JobTable::default();
+    let first = submission("a", 0, &[1]);
+    jobs.sent(&first);
+    jobs.sent(&first);
+    assert!(jobs.answered(&first, &complete("x")));
+    assert!(jobs.answered(&first, &complete("x")));
+    assert!(!jobs.answered(&first, &complete("y")));
+    assert_eq!(jobs.len(), 1);
+}
+
+#[test]
+fn starts_are_compared_with_answers() {
+    let mut jobs = JobTable::default();
+    let job = |id: &str| submission(id, 0, &[1, 1]);
+    for (id, answers) in [
+        ("whole", vec![complete("x")]),
+        ("refused", vec![refused(true)]),
+        ("refused-once", vec![refused(true), complete("x")]),
+        ("false", vec![refused(true), refused(true)]),
+    ] {
+        for answer in answers {
+            jobs.sent(&job(id));
+            jobs.answered(&job(id), &answer);
+        }
+    }
+    let key = |job, index| start_key("quote-desk", job, index);
+    let mut starts = Starts::default();
+    starts.add(&StartList(vec![
+        (key("whole", 0), 1),
+        (key("whole", 1), 1),
+        (key("refused-once", 0), 1),
+        (key("of another run", 0), 5),
+    ]));
+    starts.add(&StartList(vec![(key("whole", 1), 1), (key("false", 0), 1)]));
+    let expected = StartFigures {
+        starts: 5,
+        doubled: 1,
+        doubled_not_repeatable: 1,
+        false_not_run: 1,
+        missing_lists: 0,
+    };
+    assert_eq!(starts.compare(&jobs), expected);
+}
