Check a start again when the connection to the backend server stands

Cause: between the decision and the sending lay the connect, up to a second, which the fence does not cover; and a backend server that refuses connections drew one task after the other. A backend server that cannot be connected to pauses, 200 ms doubling to 5 s, then gets one task at a time until it is reached. Stops are taken only from the entry that decides about the job. A stop in order waits for sessions that are down. Conclusion: nothing but the sending itself follows the last check.

--- a/crates/masticcross-agent/src/agent.rs
+++ b/crates/masticcross-agent/src/agent.rs
@@ -10,7 +10,7 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
 
-use crate::backend::{BackendClient, RunOutcome};
+use crate::backend::{BackendClient, RunOutcome, StartGate};
 use crate::connector;
 use crate::core::starts::Run;
 use crate::core::{AgentCore, SessionId, SharedCore, Stats};
@@ -135,16 +135,17 @@
     }
 
     async fn run_task(self: Arc<Self>, run: Run) {
-        let begun = Instant::now();
         let id = run.id;
         let outcome = self.run_or_stop(run).await;
-        let now = Instant::now();
-        let next = self.core.finished(id, outcome, now - begun, now);
+        let next = self.core.finished(id, outcome, Instant::now());
         self.perform(next);
     }
 
     async fn run_or_stop(&self, run: Run) -> RunOutcome {
-        let mut request = self.client.run(run.backend.clone(), run.body);
+        let mut request = {
+            let gate = StartGate::new(self.core.clone(), run.id);
+            self.client.run(run.backend.clone(), run.body, gate)
+        };
         let mut stop = run.stop;
         tokio::select! {
             biased;
@@ -176,8 +177,7 @@
     async fn until_idle(&self) {
         loop {
             let stats = self.stats();
-            let done = stats.running == 0 && (stats.unreleased == 0 || stats.sessions == 0);
-            if done {
+            if stats.running == 0 && stats.unreleased == 0 {
                 return;
             }
             sleep(CLOSE_POLL).await;
--- a/crates/masticcross-agent/src/announcement.rs
+++ b/crates/masticcross-agent/src/announcement.rs
@@ -14,6 +14,12 @@
 /// Longest accepted time to live, in milliseconds.
 const MAX_TTL_MS: u64 = 600_000;
 
+/// Beginning of an accepted URL.
+const SCHEME: &str = "http://";
+
+/// Port of a URL that names none.
+const HTTP_PORT: u16 = 80;
+
 /// Most slots or connections of one backend server.
 const MAX_SLOTS: u16 = 4_096;
 
@@ -78,6 +84,31 @@
             ttl: checked_ttl(body.ttl_ms)?,
         })
     }
+
+    /// Returns host and port of the URL.
+    #[must_use]
+    pub fn authority(&self) -> String {
+        let authority = self.split_url().0;
+        if authority
+            .rsplit(']')
+            .next()
+            .is_some_and(|end| end.contains(':'))
+        {
+            return authority.to_owned();
+        }
+        format!("{authority}:{HTTP_PORT}")
+    }
+
+    /// Returns the path of the URL, empty or with a slash in front.
+    #[must_use]
+    pub fn base_path(&self) -> &str {
+        self.split_url().1
+    }
+
+    fn split_url(&self) -> (&str, &str) {
+        let rest = self.url.strip_prefix(SCHEME).unwrap_or(&self.url);
+        rest.split_at(rest.find('/').unwrap_or(rest.len()))
+    }
 }
 
 fn checked_name(field: &'static str, text: &str) -> Result<Name> {
@@ -93,7 +124,7 @@
         reason: reason.to_owned(),
     };
     let uri: Uri = text.parse().map_err(|_| fail("is no URL"))?;
-    if uri.scheme_str() != Some("http") {
+    if uri.scheme_str() != Some("http") || !text.starts_with(SCHEME) {
         return Err(fail("must begin with http://"));
     }
     if uri.authority().is_none() {
--- /dev/null
+++ b/crates/masticcross-agent/src/backend/gate.rs
@@ -0,0 +1,33 @@
+//! The last check before a task is sent to its backend server.
+
+use masticcross_basics::AttemptId;
+use masticcross_wire::NotStartedReason;
+use tokio::time::Instant;
+
+use crate::core::SharedCore;
+
+/// Result of the last check.
+pub type Result<T> = std::result::Result<T, NotStartedReason>;
+
+/// Permits or refuses the start of one attempt.
+pub struct StartGate {
+    core: SharedCore,
+    attempt: AttemptId,
+}
+
+impl StartGate {
+    /// Creates the gate of one attempt.
+    #[must_use]
+    pub fn new(core: SharedCore, attempt: AttemptId) -> Self {
+        Self { core, attempt }
+    }
+
+    /// Decides about the start at this moment. The request must be sent without any wait after it.
+    /// May be asked again if provably nothing was sent.
+    ///
+    /// # Errors
+    /// Says why the task must not start.
+    pub fn pass(&self) -> Result<()> {
+        self.core.confirm_start(self.attempt, Instant::now())
+    }
+}
--- a/crates/masticcross-agent/src/core/backends.rs
+++ b/crates/masticcross-agent/src/core/backends.rs
@@ -1,6 +1,7 @@
 //! The backend servers that announced themselves to this agent.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use masticcross_basics::Name;
 use masticcross_wire::BackendInfo;
@@ -8,6 +9,15 @@
 
 use crate::Announcement;
 
+/// First pause of a backend server that could not be connected to.
+const MIN_PAUSE: Duration = Duration::from_millis(200);
+
+/// Longest pause of a backend server that could not be connected to.
+const MAX_PAUSE: Duration = Duration::from_secs(5);
+
+/// Doublings of the pause at most.
+const MAX_DOUBLINGS: u32 = 8;
+
 /// A backend server as this agent knows it.
 #[derive(Debug, Clone)]
 pub struct Backend {
@@ -19,21 +29,50 @@
     pub running: u16,
     /// True once it left; it gets nothing new.
     pub left: bool,
+    /// Connections that failed in a row.
+    pub failures: u32,
+    /// It gets nothing until then, as it could not be connected to.
+    paused_until: Option<Instant>,
 }
 
 impl Backend {
     /// Returns true while it may get new tasks.
     #[must_use]
     pub fn is_live(&self, now: Instant) -> bool {
-        !self.left && now < self.expires_at
+        !self.left && now < self.expires_at && self.paused_until.is_none()
     }
 
-    /// Returns the tasks that it runs at once.
+    /// Returns the tasks that it runs at once: a single one after a failed connection, until it
+    /// proves reachable.
     #[must_use]
     pub fn places(&self) -> u16 {
+        if self.failures > 0 {
+            return 1;
+        }
         self.announcement.slots.min(self.announcement.connections)
     }
 
+    fn new(announcement: Announcement, expires_at: Instant) -> Self {
+        Self {
+            announcement,
+            expires_at,
+            running: 0,
+            left: false,
+            failures: 0,
+            paused_until: None,
+        }
+    }
+
+    fn note_contact(&mut self, reached: bool, now: Instant) {
+        if reached {
+            self.failures = 0;
+            return;
+        }
+        let pause = MIN_PAUSE * 2u32.saturating_pow(self.failures.min(MAX_DOUBLINGS));
+        self.failures += 1;
+        self.paused_until = Some(now + pause.min(MAX_PAUSE));
+    }
+
     fn free(&self) -> u16 {
         self.places().saturating_sub(self.running)
     }
@@ -51,14 +90,14 @@
         let before = self.infos(now);
         let expires_at = now + announcement.ttl;
         let name = announcement.name.clone();
-        let running = self.by_name.get(&name).map_or(0, |b| b.running);
-        let backend = Backend {
-            announcement,
-            expires_at,
-            running,
-            left: false,
-        };
-        self.by_name.insert(name, backend);
+        if let Some(backend) = self.by_name.get_mut(&name) {
+            backend.announcement = announcement;
+            backend.expires_at = expires_at;
+            backend.left = false;
+        } else {
+            let backend = Backend::new(announcement, expires_at);
+            self.by_name.insert(name, backend);
+        }
         before != self.infos(now)
     }
 
@@ -98,6 +137,25 @@
         Some(backend.announcement.clone())
     }
 
+    /// Notes whether a backend server could be connected to. Returns true if the list for the
+    /// entries changes.
+    pub fn note_contact(&mut self, name: &str, reached: bool, now: Instant) -> bool {
+        let before = self.infos(now);
+        if let Some(backend) = self.by_name.get_mut(name) {
+            backend.note_contact(reached, now);
+        }
+        before != self.infos(now)
+    }
+
+    /// Ends the pauses that are over. Returns true if the list for the entries changes.
+    pub fn end_pauses(&mut self, now: Instant) -> bool {
+        let before = self.infos(now);
+        for backend in self.by_name.values_mut() {
+            backend.paused_until = backend.paused_until.filter(|until| *until > now);
+        }
+        before != self.infos(now)
+    }
+
     /// Gives a place back.
     pub fn free_place(&mut self, name: &str) {
         if let Some(backend) = self.by_name.get_mut(name) {
--- a/crates/masticcross-agent/src/core/mod.rs
+++ b/crates/masticcross-agent/src/core/mod.rs
@@ -84,6 +84,8 @@
     pub sessions: usize,
     /// Backend servers that get tasks.
     pub backends: usize,
+    /// True while this start of the agent is registered in the log.
+    pub registered: bool,
     /// Age of the view.
     pub view_age: Option<Duration>,
     /// True while the view may be used to start tasks.
@@ -242,6 +244,9 @@
         for name in state.backends.expire(now) {
             self.backend_gone(&mut state, &name, now);
         }
+        if state.backends.end_pauses(now) {
+            self.send_backends(&state, now);
+        }
         state.attempts.trim(now);
         self.note_freshness(&mut state, now);
         self.refuse_overdue(&mut state, now);
@@ -271,6 +276,7 @@
             unreleased: state.attempts.unreleased(),
             sessions: self.sessions.len(),
             backends: state.backends.infos(now).len(),
+            registered: self.view.view().is_some_and(|view| view.registered),
             view_age: self.view.age(now),
             view_fresh: self.view.is_fresh(now),
             draining: state.draining,
@@ -341,7 +347,10 @@
 impl State {
     fn capacity(&self, service: &Name, limits: &AgentLimits, now: Instant) -> Capacity {
         let slots = self.backends.places(service, now);
-        let running = self.running.values().filter(|r| r.service == *service);
+        let running = self
+            .running
+            .values()
+            .filter(|r| r.task.key.service == *service);
         let busy = running.count() + self.queue.len(service);
         Capacity {
             slots,
--- a/crates/masticcross-agent/src/core/reports.rs
+++ b/crates/masticcross-agent/src/core/reports.rs
@@ -111,7 +111,7 @@
 
     /// Returns the name of the entry with the highest epoch for an attempt's partition: the owner
     /// in the view, the entry that gathered, or the one that sent the attempt.
-    fn addressee(&self, state: &State, attempt: &Attempt) -> Name {
+    pub(super) fn addressee(&self, state: &State, attempt: &Attempt) -> Name {
         let mut newest = (attempt.id.epoch, attempt.origin.clone());
         if let Some(gatherer) = state.gatherers.get(&attempt.partition)
             && gatherer.epoch > newest.0
--- a/crates/masticcross-agent/src/core/starts.rs
+++ b/crates/masticcross-agent/src/core/starts.rs
@@ -16,7 +16,7 @@
 use super::view::Result;
 use super::{AgentCore, SessionId, State};
 
-/// A task that must be run now.
+/// A task that got a place and is to be sent to its backend server.
 #[derive(Debug)]
 pub struct Run {
     /// The attempt.
@@ -29,13 +29,14 @@
     pub stop: watch::Receiver<bool>,
 }
 
-/// A task that runs.
+/// A task that has a place at a backend server.
 #[derive(Debug)]
 pub struct Running {
-    /// Service of the task.
-    pub service: Name,
+    /// The task.
+    pub task: QueuedTask,
     backend: Name,
     stop: watch::Sender<bool>,
+    started_at: Option<Instant>,
 }
 
 impl AgentCore {
@@ -58,33 +59,63 @@
         runs
     }
 
-    /// Stops attempts: what waits never starts, what runs is stopped at its backend server.
-    pub fn stop(&self, stop: &StopTasks, now: Instant) {
+    /// Stops attempts: what waits never starts, what runs is stopped at its backend server. An entry
+    /// that does not decide about a job any more is not listened to.
+    pub fn stop(&self, session: SessionId, stop: &StopTasks, now: Instant) {
         let mut state = self.state.lock();
-        for id in &stop.attempts {
+        let Some(entry) = self.sessions.entry_of(session) else {
+            return;
+        };
+        let mine = |id: &&AttemptId| {
+            let attempt = state.attempts.get(**id);
+            attempt.is_some_and(|attempt| self.addressee(&state, attempt) == entry)
+        };
+        let ids: Vec<AttemptId> = stop.attempts.iter().filter(mine).copied().collect();
+        for id in &ids {
             if let Some(running) = state.running.get(id) {
                 running.stop.send_replace(true);
             }
         }
-        let stopped = state.queue.take(|task| stop.attempts.contains(&task.id));
+        let stopped = state.queue.take(|task| ids.contains(&task.id));
         self.refuse(&mut state, &stopped, NotStartedReason::Stopped, now);
         self.grant(&mut state, now);
     }
 
+    /// Decides about the start of a task that has a place. This is the last step before its request
+    /// is sent.
+    ///
+    /// # Errors
+    /// Says why the task must not start.
+    pub fn confirm_start(&self, id: AttemptId, now: Instant) -> Result<()> {
+        let mut state = self.state.lock();
+        let running = state.running.get(&id).ok_or(NotStartedReason::Stopped)?;
+        if *running.stop.borrow() {
+            return Err(NotStartedReason::Stopped);
+        }
+        self.check(&state, &running.task, now)?;
+        let Some(running) = state.running.get_mut(&id) else {
+            return Err(NotStartedReason::Stopped);
+        };
+        if running.started_at.replace(now).is_none() {
+            self.note_start(&running.task);
+        }
+        Ok(())
+    }
+
     /// Takes over the end of a run. Returns the tasks to run now.
     #[must_use]
-    pub fn finished(
-        &self,
-        id: AttemptId,
-        outcome: RunOutcome,
-        run: Duration,
-        now: Instant,
-    ) -> Vec<Run> {
+    pub fn finished(&self, id: AttemptId, outcome: RunOutcome, now: Instant) -> Vec<Run> {
         let mut state = self.state.lock();
         let Some(running) = state.running.remove(&id) else {
             return Vec::new();
         };
+        let reached = !matches!(outcome, RunOutcome::NotSent(_));
         state.backends.free_place(&running.backend);
+        if state.backends.note_contact(&running.backend, reached, now) {
+            self.send_backends(&state, now);
+            self.refuse_without_backend(&mut state, now);
+        }
+        let run = running.started_at.map_or(Duration::ZERO, |at| now - at);
         let outcome = task_outcome(outcome, *running.stop.borrow());
         self.end(&mut state, id, outcome, run, now);
         state.attempts.trim(now);
@@ -154,6 +185,9 @@
             Known::New | Known::Duplicate => {}
             Known::Forgotten | Known::Earlier(_) => return Err(NotStartedReason::AlreadyKnown),
         }
+        if state.draining {
+            return Err(NotStartedReason::ShuttingDown);
+        }
         self.check(state, task, now)?;
         let service = &task.key.service;
         if state.backends.places(service, now) == 0 {
@@ -167,9 +201,6 @@
 
     /// Checks that a task may start at this moment.
     fn check(&self, state: &State, task: &QueuedTask, now: Instant) -> Result<()> {
-        if state.draining {
-            return Err(NotStartedReason::ShuttingDown);
-        }
         if now >= task.deadline {
             return Err(NotStartedReason::DeadlinePassed);
         }
@@ -201,7 +232,7 @@
         runs
     }
 
-    /// Decides about the start of a task. This is the last step before the request is sent.
+    /// Gives a waiting task its place, unless it must not start any more.
     fn begin(
         &self,
         state: &mut State,
@@ -217,12 +248,23 @@
             return None;
         }
         let (stop_tx, stop) = watch::channel(false);
+        let run = Run {
+            id: task.id,
+            backend: backend.clone(),
+            body: body_of(&task),
+            stop,
+        };
         let running = Running {
-            service: task.key.service.clone(),
+            task,
             backend: backend.name.clone(),
             stop: stop_tx,
+            started_at: None,
         };
-        state.running.insert(task.id, running);
+        state.running.insert(run.id, running);
+        Some(run)
+    }
+
+    fn note_start(&self, task: &QueuedTask) {
         self.metrics.started();
         let event = Event::new(EventKind::Started)
             .job(&task.key)
@@ -230,12 +272,6 @@
             .worker(&self.identity.name)
             .zone(&self.identity.zone);
         self.timeline.record(event);
-        Some(Run {
-            id: task.id,
-            backend: backend.clone(),
-            body: body_of(task),
-            stop,
-        })
     }
 
     /// Refuses tasks that were taken out of the queue.
@@ -313,13 +349,13 @@
     }
 }
 
-fn body_of(task: QueuedTask) -> TaskBody {
+fn body_of(task: &QueuedTask) -> TaskBody {
     TaskBody {
-        service: task.key.service,
-        job: task.key.job,
+        service: task.key.service.clone(),
+        job: task.key.job.clone(),
         index: task.index,
         attempt: task.id,
-        payload: task.payload,
+        payload: task.payload.clone(),
     }
 }
 
@@ -328,6 +364,7 @@
     match outcome {
         RunOutcome::Done(json) => TaskOutcome::Done(json),
         RunOutcome::NotSent(_) => TaskOutcome::NotStarted(NotStartedReason::ConnectFailed),
+        RunOutcome::Refused(reason) => TaskOutcome::NotStarted(reason),
         RunOutcome::Failed(_) | RunOutcome::Stopped if stopped => TaskOutcome::Stopped,
         RunOutcome::Failed(text) => TaskOutcome::Failed(text),
         RunOutcome::Stopped => TaskOutcome::Stopped,
--- a/crates/masticcross-agent/src/http/operators.rs
+++ b/crates/masticcross-agent/src/http/operators.rs
@@ -35,6 +35,9 @@
     if !stats.view_fresh {
         return Some("no fresh view of the configuration");
     }
+    if !stats.registered {
+        return Some("not registered in the log yet");
+    }
     if stats.backends == 0 {
         return Some("no backend server is announced");
     }
--- a/crates/masticcross-agent/src/lib.rs
+++ b/crates/masticcross-agent/src/lib.rs
@@ -21,6 +21,6 @@
 
 pub use agent::Agent;
 pub use announcement::Announcement;
-pub use backend::{BackendClient, HyperBackendClient, RunOutcome, TaskBody};
+pub use backend::{BackendClient, HyperBackendClient, RunOutcome, StartGate, TaskBody};
 pub use identity::Identity;
 pub use settings::{AgentLimits, Settings};
--- a/crates/masticcross-agent/src/session.rs
+++ b/crates/masticcross-agent/src/session.rs
@@ -194,7 +194,7 @@
         match frame {
             Frame::Pong(pong) => self.pong(pong, now),
             Frame::Start(start) => agent.perform(core.start(self.id, &start, now)),
-            Frame::Stop(stop) => core.stop(&stop, now),
+            Frame::Stop(stop) => core.stop(self.id, &stop, now),
             Frame::Release(keys) => core.release(&keys, now),
             Frame::Gather(gather) => core.gather(self.id, gather, now),
             Frame::Demand(demand) => core.demand(self.id, &demand, now),
--- a/crates/masticcross-agent/tests/support/mod.rs
+++ b/crates/masticcross-agent/tests/support/mod.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use futures_util::future::BoxFuture;
-use masticcross_agent::{Agent, Announcement, BackendClient, RunOutcome, Settings, TaskBody};
+use masticcross_agent::{
+    Agent, Announcement, BackendClient, RunOutcome, Settings, StartGate, TaskBody,
+};
 use masticcross_basics::timeline::{Stamp, Timeline};
 use masticcross_basics::{AttemptId, Epoch, JobKey, Name, PARTITIONS};
 use masticcross_wire::{
@@ -57,9 +59,17 @@
 pub struct SharedBackend(pub Arc<MemoryBackend>);
 
 impl BackendClient for SharedBackend {
-    fn run(&self, _backend: Announcement, task: TaskBody) -> BoxFuture<'static, RunOutcome> {
+    fn run(
+        &self,
+        _backend: Announcement,
+        task: TaskBody,
+        gate: StartGate,
+    ) -> BoxFuture<'static, RunOutcome> {
         let shared = self.0.clone();
         Box::pin(async move {
+            if let Err(reason) = gate.pass() {
+                return RunOutcome::Refused(reason);
+            }
             shared.started.lock().push(task.attempt);
             sleep(shared.run_time).await;
             RunOutcome::Done(task.payload)
