--- a/crates/masticcross-ledger/src/fold.rs
+++ b/crates/masticcross-ledger/src/fold.rs
@@ -46,6 +46,7 @@
 pub struct StreamFold {
     kind: StreamKind,
     position: Position,
+    first: Offset,
     snapshot: Option<Offset>,
     changes: u64,
     skipped: u64,
@@ -58,6 +59,7 @@
         Self {
             kind,
             position: Position::Known(0),
+            first: 0,
             snapshot: None,
             changes: 0,
             skipped: 0,
@@ -87,6 +89,12 @@
         self.snapshot
     }
 
+    /// Returns true if a new reader could not build the state from what the stream still keeps.
+    #[must_use]
+    pub fn needs_snapshot(&self) -> bool {
+        self.first > 0 && self.snapshot.is_none_or(|at| at < self.first)
+    }
+
     /// Returns how many records that are in no snapshot were applied.
     #[must_use]
     pub fn changes_since_snapshot(&self) -> u64 {
@@ -101,6 +109,7 @@
 
     /// Learns that records before `first` are not kept any more.
     pub fn truncated(&mut self, first: Offset) {
+        self.first = self.first.max(first);
         if self.next() >= first {
             return;
         }
@@ -184,7 +193,7 @@
             }
             Some(ConfigRecord::Snapshot(snapshot)) => {
                 self.note_snapshot(snapshot.at, record.offset);
-                (None, state.adopt_config(&snapshot))
+                (None, false)
             }
             None => (None, false),
         }
--- a/crates/masticcross-ledger/src/publish.rs
+++ b/crates/masticcross-ledger/src/publish.rs
@@ -19,6 +19,9 @@
 /// Longest time for which the outcome of an append is looked for.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Longest wait for a snapshot if earlier records were dropped.
+const SNAPSHOT_WAIT: Duration = Duration::from_secs(10);
+
 /// Pause between two looks.
 const SETTLE_PAUSE: Duration = Duration::from_millis(100);
 
@@ -88,7 +91,7 @@
     document: &str,
 ) -> Result<PublishOutcome> {
     let mut reader = Reader::new();
-    reader.read_to_end(log).await?;
+    reader.read_to_snapshot(log).await?;
     if reader.fold.is_known() && reader.state.config.version != base {
         return Ok(reader.conflict());
     }
@@ -123,6 +126,18 @@
         }
     }
 
+    /// Reads to the end, and on until a running process has appended the snapshot that is missing.
+    async fn read_to_snapshot(&mut self, log: &dyn Log) -> Result<()> {
+        let deadline = Instant::now() + SNAPSHOT_WAIT;
+        loop {
+            self.read_to_end(log).await?;
+            if self.fold.is_known() || Instant::now() >= deadline {
+                return Ok(());
+            }
+            sleep(SETTLE_PAUSE).await;
+        }
+    }
+
     async fn read_to_end(&mut self, log: &dyn Log) -> Result<()> {
         loop {
             let from = self.fold.next();
--- a/crates/masticcross-ledger/src/record.rs
+++ b/crates/masticcross-ledger/src/record.rs
@@ -79,8 +79,9 @@
     pub author: String,
     /// The document in TOML.
     pub document: String,
-    /// Set only by the operator's tool when all earlier records were dropped: the record is then
-    /// accepted in any case if its own offset is this one.
+    /// Set only by the operator's tool when earlier records were dropped and no process showed a
+    /// snapshot: the record is then accepted in any case if its own offset is this one. Its version
+    /// is the offset plus one, which is larger than any before.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub restore_at: Option<Offset>,
 }
--- a/crates/masticcross-ledger/src/snapshot.rs
+++ b/crates/masticcross-ledger/src/snapshot.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use masticcross_basics::Name;
 use masticcross_log::Offset;
 use tokio::time::{Instant, sleep};
 
@@ -13,11 +14,15 @@
 /// Interval at which each process looks whether a snapshot is due.
 const LOOK_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time that each process leaves to the one before it to append a snapshot that is due.
+const TURN_TIME: Duration = Duration::from_secs(2);
+
 /// What is known about the snapshots of one stream.
 struct Watch {
     kind: StreamKind,
     newest: Option<Offset>,
     since: Instant,
+    due_since: Option<Instant>,
     unknown_since: Option<Instant>,
 }
 
@@ -27,6 +32,7 @@
             kind,
             newest: None,
             since: Instant::now(),
+            due_since: None,
             unknown_since: None,
         }
     }
@@ -59,28 +65,34 @@
         return;
     }
     watch.unknown_since = None;
-    if is_due(agreement, watch) && is_my_turn(agreement) {
-        let appended = append_snapshot(agreement, kind).await;
-        if let Err(error) = appended {
-            log::warn!(stream = agreement.stream_name(kind), error:%; "snapshot not appended");
-        }
+    if !is_due(agreement, watch) {
+        watch.due_since = None;
+        return;
+    }
+    let due_since = *watch.due_since.get_or_insert_with(Instant::now);
+    if due_since.elapsed() < TURN_TIME * rank(agreement) {
+        return;
+    }
+    if let Err(error) = append_snapshot(agreement, kind).await {
+        log::warn!(stream = agreement.stream_name(kind), error:%; "snapshot not appended");
     }
 }
 
 fn is_due(agreement: &Agreement, watch: &Watch) -> bool {
-    let (next, pending) =
-        agreement.with_fold(watch.kind, |f| (f.next(), f.changes_since_snapshot()));
     let settings = agreement.settings();
     let age = watch.since.elapsed();
-    let changed = pending > 0 && age >= settings.snapshot_interval;
-    next > 0 && (changed || age >= settings.snapshot_refresh)
+    agreement.with_fold(watch.kind, |fold| {
+        let changed = fold.changes_since_snapshot() > 0 && age >= settings.snapshot_interval;
+        let old = fold.next() > 0 && age >= settings.snapshot_refresh;
+        changed || old || fold.needs_snapshot()
+    })
 }
 
-/// Returns true if this process is the member with the lowest name, or nobody is a member.
-fn is_my_turn(agreement: &Agreement) -> bool {
+/// Returns how many members come before this process in the order of names.
+fn rank(agreement: &Agreement) -> u32 {
     let state = agreement.state();
-    let lowest = state.members.keys().next();
-    lowest.is_none_or(|name| *name == agreement.identity().name)
+    let before = state.members.range::<Name, _>(..&agreement.identity().name);
+    u32::try_from(before.count()).unwrap_or(u32::MAX)
 }
 
 async fn append_snapshot(agreement: &Agreement, kind: StreamKind) -> Result<Offset> {
--- a/crates/masticcross-ledger/src/state.rs
+++ b/crates/masticcross-ledger/src/state.rs
@@ -99,21 +99,23 @@
     /// Applies a record of stream `config` at its offset. Returns true if it was accepted.
     pub fn apply_config(&mut self, offset: u64, change: &ConfigChange) -> bool {
         self.version.config = offset + 1;
-        let restored = change.restore_at == Some(offset);
-        if change.base != self.config.version && !restored {
+        let version = if change.restore_at == Some(offset) {
+            // No earlier version is larger, as each took a record.
+            offset + 1
+        } else if change.base == self.config.version {
+            change.base + 1
+        } else {
             return false;
-        }
-        let base = change.base.max(self.config.version);
-        self.put_in_force(base + 1, &change.author, &change.document)
+        };
+        self.put_in_force(version, &change.author, &change.document)
     }
 
-    /// Takes over the configuration of a snapshot, unless a later one is in force. Returns true if
-    /// it was taken over.
-    pub fn adopt_config(&mut self, snapshot: &ConfigSnapshot) -> bool {
-        if snapshot.version <= self.config.version {
-            return false;
+    /// Takes over the configuration of a snapshot.
+    pub fn adopt_config(&mut self, snapshot: &ConfigSnapshot) {
+        self.version.config = snapshot.at;
+        if snapshot.version > self.config.version {
+            self.put_in_force(snapshot.version, &snapshot.author, &snapshot.document);
         }
-        self.put_in_force(snapshot.version, &snapshot.author, &snapshot.document)
     }
 
     fn put_in_force(&mut self, version: u64, author: &str, text: &str) -> bool {
--- /dev/null
+++ b/crates/masticcross-ledger/tests/agreement.rs
@@ -0,0 +1,264 @@
+//! Agreement of several entries over one log that fails.
+
+mod common;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use common::{PARTITIONS, claim, document, join, new_log, start};
+use masticcross_basics::{Epoch, Partition};
+use masticcross_ledger::{
+    Agreement, AgreementSettings, CONFIG_STREAM, PublishOutcome, publish, read_config,
+};
+use masticcross_log::{Log, LogError};
+use masticcross_standins::log::{MemoryLog, Occurrence};
+use tokio::time::sleep;
+
+const P: Partition = Partition(7);
+
+/// Time in which a record reaches every reader that reaches the log.
+const READ_TIME: Duration = Duration::from_millis(50);
+
+async fn read_time() {
+    sleep(READ_TIME).await;
+}
+
+fn start_default(log: &MemoryLog, name: &str) -> Arc<Agreement> {
+    start(log, name, AgreementSettings::default())
+}
+
+#[tokio::test(start_paused = true)]
+async fn of_two_racing_claims_the_first_wins_and_both_know() {
+    let log = new_log();
+    let (a, b) = (start_default(&log, "a"), start_default(&log, "b"));
+    a.append(join("a", 1)).await.unwrap();
+    b.append(join("b", 1)).await.unwrap();
+    let (first, second) = tokio::join!(
+        a.append(claim("a", 7, Epoch(0))),
+        b.append(claim("b", 7, Epoch(0))),
+    );
+    let (first, second) = (first.unwrap(), second.unwrap());
+    read_time().await;
+    assert_eq!(a.state(), b.state());
+    let won = Epoch(first.min(second) + 1);
+    assert_eq!(a.epoch_if_mine(P), (first < second).then_some(won));
+    assert_eq!(b.epoch_if_mine(P), (second < first).then_some(won));
+}
+
+#[tokio::test(start_paused = true)]
+async fn of_two_racing_documents_one_is_accepted_and_the_other_told() {
+    let log = new_log();
+    let outcome = publish(&log, 0, "ann", &document(0)).await.unwrap();
+    assert_eq!(outcome, PublishOutcome::Accepted(1));
+    let (ann, ben) = (document(1), document(2));
+    let (first, second) =
+        tokio::join!(publish(&log, 1, "ann", &ann), publish(&log, 1, "ben", &ben));
+    let history = read_config(&log).await.unwrap();
+    let by = history.config.author.clone();
+    let (won, lost) = if by == "ann" {
+        (first, second)
+    } else {
+        (second, first)
+    };
+    assert_eq!(won.unwrap(), PublishOutcome::Accepted(2));
+    assert_eq!(lost.unwrap(), PublishOutcome::Conflict { by, version: 2 });
+    let versions: Vec<_> = history.proposals.iter().map(|p| p.version).collect();
+    assert_eq!(versions, [Some(1), Some(2), None]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn publishing_on_an_old_base_appends_nothing() {
+    let log = new_log();
+    publish(&log, 0, "ann", &document(0)).await.unwrap();
+    let outcome = publish(&log, 0, "ben", &document(1)).await.unwrap();
+    let by = "ann".to_owned();
+    assert_eq!(outcome, PublishOutcome::Conflict { by, version: 1 });
+    assert_eq!(log.appended(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_lost_reply_is_settled_without_a_second_record() {
+    let log = new_log();
+    let a = start_default(&log, "a");
+    log.faults()
+        .lose_replies(Occurrence::Always, Duration::from_secs(30));
+    assert_eq!(a.append(join("a", 1)).await, Ok(0));
+    assert_eq!(a.append(claim("a", 7, Epoch(0))).await, Ok(1));
+    let outcome = publish(&log, 0, "ann", &document(0)).await.unwrap();
+    assert_eq!(outcome, PublishOutcome::Accepted(1));
+    assert_eq!(log.appended(), 3);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_append_that_comes_very_late_is_unknown_and_then_harmless() {
+    let log = new_log();
+    let a = start_default(&log, "a");
+    a.append(join("a", 1)).await.unwrap();
+    a.append(join("b", 1)).await.unwrap();
+    log.faults()
+        .delay_appends(Occurrence::Next(1), Duration::from_secs(30), Duration::ZERO);
+    let late = a.append(claim("a", 7, Epoch(0))).await;
+    assert!(matches!(late, Err(LogError::Unknown(_))));
+    let offset = a.append(claim("b", 7, Epoch(0))).await.unwrap();
+    sleep(Duration::from_secs(40)).await;
+    assert_eq!(log.appended(), 4);
+    assert_eq!(a.state().ownership(P).epoch, Epoch(offset + 1));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_throttled_append_is_repeated() {
+    let log = new_log();
+    let a = start_default(&log, "a");
+    for _ in 0..1000 {
+        let _ = log.append("other", "x".into()).await;
+    }
+    assert!(a.append(join("a", 1)).await.is_ok());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_view_is_as_old_as_the_read_that_proved_it() {
+    let log = new_log();
+    publish(&log, 0, "ann", &document(0)).await.unwrap();
+    let (a, b) = (start_default(&log, "a"), start_default(&log, "b"));
+    assert_eq!(a.view_age(), None);
+    sleep(Duration::from_secs(1)).await;
+    assert!(a.is_fresh() && b.is_fresh());
+    assert!(a.view_age().unwrap() <= Duration::from_millis(450));
+
+    log.faults().cut_off("a", true);
+    sleep(Duration::from_secs(3)).await;
+    assert!(!a.is_fresh() && b.is_fresh());
+    assert!(a.view_age().unwrap() >= Duration::from_secs(3));
+
+    log.faults().clear();
+    log.faults().set_down(true);
+    sleep(Duration::from_secs(3)).await;
+    assert!(!a.is_fresh() && !b.is_fresh());
+
+    log.faults().clear();
+    log.faults().set_slow(1.0, Duration::from_millis(300));
+    sleep(Duration::from_secs(5)).await;
+    let age = a.view_age().unwrap();
+    assert!(age >= Duration::from_millis(300) && age <= Duration::from_millis(1500));
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_accepted_document_is_in_force_everywhere_at_once() {
+    let log = new_log();
+    let entries = ["a", "b", "c"].map(|name| start_default(&log, name));
+    sleep(Duration::from_secs(1)).await;
+    publish(&log, 0, "ann", &document(0)).await.unwrap();
+    read_time().await;
+    for entry in &entries {
+        assert_eq!(entry.state().config.version, 1);
+    }
+}
+
+fn frequent_snapshots() -> AgreementSettings {
+    AgreementSettings {
+        snapshot_interval: Duration::from_secs(2),
+        snapshot_refresh: Duration::from_secs(10),
+        ..AgreementSettings::default()
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_new_reader_recovers_from_snapshots_after_a_cut() {
+    let log = new_log();
+    let a = start(&log, "a", frequent_snapshots());
+    a.append(join("a", 1)).await.unwrap();
+    a.append(claim("a", 7, Epoch(0))).await.unwrap();
+    for number in 0..5 {
+        publish(&log, number.into(), "ann", &document(number))
+            .await
+            .unwrap();
+    }
+    sleep(Duration::from_secs(5)).await;
+    a.append(claim("a", 8, Epoch(0))).await.unwrap();
+    read_time().await;
+    log.cut(CONFIG_STREAM, 5);
+    log.cut(PARTITIONS, 2);
+    let b = start_default(&log, "b");
+    read_time().await;
+    assert_eq!(a.state(), b.state());
+    assert_eq!(b.state().config.version, 5);
+    assert!(b.is_fresh());
+    let outcome = publish(&log, 5, "ben", &document(9)).await.unwrap();
+    assert_eq!(outcome, PublishOutcome::Accepted(6));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_reader_that_missed_records_keeps_its_state_but_is_not_fresh_until_a_snapshot() {
+    let log = new_log();
+    let (a, b) = (start_default(&log, "a"), start_default(&log, "b"));
+    publish(&log, 0, "ann", &document(0)).await.unwrap();
+    a.append(join("a", 1)).await.unwrap();
+    read_time().await;
+    log.faults().cut_off("b", true);
+    publish(&log, 1, "ann", &document(1)).await.unwrap();
+    publish(&log, 2, "ann", &document(2)).await.unwrap();
+    read_time().await;
+    log.faults().cut_off("a", true);
+    log.cut(CONFIG_STREAM, 3);
+    log.faults().cut_off("b", false);
+    sleep(Duration::from_secs(3)).await;
+    assert_eq!(b.state().config.version, 1);
+    assert!(!b.is_fresh());
+    log.faults().cut_off("a", false);
+    sleep(Duration::from_secs(3)).await;
+    assert_eq!(b.state().config, a.state().config);
+    assert!(b.is_fresh());
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_idle_stream_is_kept_alive_by_snapshots() {
+    let log = new_log();
+    let a = start(&log, "a", frequent_snapshots());
+    publish(&log, 0, "ann", &document(0)).await.unwrap();
+    a.append(join("a", 1)).await.unwrap();
+    for _ in 0..10 {
+        sleep(Duration::from_secs(11)).await;
+        let bounds = log.bounds(CONFIG_STREAM).await.unwrap();
+        log.cut(CONFIG_STREAM, bounds.next - 1);
+        let bounds = log.bounds(PARTITIONS).await.unwrap();
+        log.cut(PARTITIONS, bounds.next - 1);
+    }
+    let b = start_default(&log, "b");
+    read_time().await;
+    assert_eq!(b.state().config.version, 1);
+    assert_eq!(b.state().members, a.state().members);
+}
+
+#[tokio::test(start_paused = true)]
+async fn streams_whose_records_are_all_gone_start_anew() {
+    let log = new_log();
+    publish(&log, 0, "ann", &document(0)).await.unwrap();
+    log.append(PARTITIONS, "{}".into()).await.unwrap();
+    log.cut(CONFIG_STREAM, 1);
+    log.cut(PARTITIONS, 1);
+    let (a, b) = (start_default(&log, "a"), start_default(&log, "b"));
+    sleep(Duration::from_secs(30)).await;
+    assert!(!a.is_fresh());
+    assert!(a.append(join("a", 1)).await.is_ok());
+    let outcome = publish(&log, 4, "ann", &document(1)).await.unwrap();
+    assert_eq!(outcome, PublishOutcome::Accepted(2));
+    read_time().await;
+    assert_eq!(a.state(), b.state());
+    assert_eq!(a.state().config.version, 2);
+    assert!(a.is_fresh());
+    assert!(a.state().ownership(P).epoch > Epoch(0));
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_unreadable_record_is_passed_over() {
+    let log = new_log();
+    log.append(CONFIG_STREAM, "nonsense".into()).await.unwrap();
+    log.append(PARTITIONS, "{\"record\":\"of tomorrow\"}".into())
+        .await
+        .unwrap();
+    let a = start_default(&log, "a");
+    publish(&log, 0, "ann", &document(0)).await.unwrap();
+    assert_eq!(a.append(join("a", 1)).await, Ok(1));
+    read_time().await;
+    assert_eq!(a.state().config.version, 1);
+}
--- /dev/null
+++ b/crates/masticcross-ledger/tests/common/mod.rs
@@ -0,0 +1,60 @@
+//! Entries that read one log, on a paused clock.
+
+use std::sync::Arc;
+
+use masticcross_basics::timeline::Timeline;
+use masticcross_basics::{Epoch, Name, Partition};
+use masticcross_config::samples;
+use masticcross_ledger::{
+    Agreement, AgreementSettings, LedgerIdentity, PartitionClaim, PartitionsChange,
+};
+use masticcross_standins::log::{MemoryLog, MemoryLogSettings};
+use masticcross_wire::{Incarnation, Member};
+
+/// Stream of members and owners in the tests' region.
+pub const PARTITIONS: &str = "partitions/perth";
+
+pub fn new_log() -> MemoryLog {
+    MemoryLog::new(MemoryLogSettings::default())
+}
+
+/// Starts an entry that reads the log under its own name.
+pub fn start(log: &MemoryLog, name: &str, settings: AgreementSettings) -> Arc<Agreement> {
+    let identity = LedgerIdentity {
+        name: Name::from(name),
+        incarnation: 1,
+        region: Name::from("perth"),
+    };
+    let timeline = Timeline::new(Name::from(name), 1000);
+    let client = Arc::new(log.client(name));
+    let agreement = Agreement::with_settings(identity, client, timeline, settings);
+    tokio::spawn(agreement.clone().run());
+    agreement
+}
+
+pub fn join(name: &str, incarnation: Incarnation) -> PartitionsChange {
+    let member = Member {
+        name: Name::from(name),
+        incarnation,
+        addr: ([127, 0, 0, 1], 7000).into(),
+        zone: Name::from("perth-north"),
+    };
+    PartitionsChange::Join { member }
+}
+
+pub fn claim(name: &str, partition: u16, previous: Epoch) -> PartitionsChange {
+    PartitionsChange::Claim {
+        owner: Name::from(name),
+        incarnation: 1,
+        partitions: vec![PartitionClaim {
+            partition: Partition(partition),
+            previous,
+        }],
+    }
+}
+
+/// Returns a document that differs by a number.
+pub fn document(number: u32) -> String {
+    let max = format!("max_deadline_ms = {}", 30_000 + number);
+    samples::GUILD.replacen("max_deadline_ms = 30000", &max, 1)
+}
