Ask returning agents, never place beside an attempt that is known

Cause: the dispatch leaves it to the owner to ask an agent that connects, and agents refuse an attempt of a task that they have already (AlreadyKnown); to place it elsewhere would be a second start.

Change: a returning agent is asked for a partition that recovers, has attempts there, or has tasks in doubt; a task that an agent knows already waits for the agent's report; attempts of ended jobs are stopped when their agent comes back. Partitions move to the member preferred for them once members are stable. A transfer whose record may still appear binds the old owner. Retries of failed tasks keep to the dispatch's budget.

--- a/crates/masticcross-entry/src/dispatch/shard.rs
+++ b/crates/masticcross-entry/src/dispatch/shard.rs
@@ -303,7 +303,9 @@
             | NotStartedReason::ShuttingDown => {
                 self.workers.change_health(id, now, |h| h.pause(now));
             }
-            NotStartedReason::Stopped | NotStartedReason::DeadlinePassed => {}
+            NotStartedReason::Stopped
+            | NotStartedReason::DeadlinePassed
+            | NotStartedReason::AlreadyKnown => {}
         }
     }
 
--- a/crates/masticcross-entry/src/owner/effect.rs
+++ b/crates/masticcross-entry/src/owner/effect.rs
@@ -37,6 +37,8 @@
     Stop(AgentId, StopTasks),
     /// Count an attempt as outstanding at an agent.
     Adopt(AgentId, AttemptReport),
+    /// Ask an agent for what it knows of the partition.
+    Gather(AgentId),
     /// Answer submissions.
     Answer(Waiters, JobAnswer),
     /// Record the end of a job, then release its results.
--- a/crates/masticcross-entry/src/owner/job.rs
+++ b/crates/masticcross-entry/src/owner/job.rs
@@ -225,6 +225,13 @@
         agents.into_iter().collect()
     }
 
+    /// Lists the agents that have attempts of the job and no session.
+    pub(super) fn agents_out_of_contact(&self) -> impl Iterator<Item = AgentId> {
+        let placed = self.tasks.iter().filter_map(Task::placement);
+        let lost = placed.filter(|p| p.contact != Contact::Good);
+        lost.map(|p| p.agent.clone())
+    }
+
     /// Asks to stop every attempt that is placed.
     pub(super) fn stop_placed(&self, effects: &mut Effects) {
         let mut by_agent: BTreeMap<&AgentId, Vec<AttemptId>> = BTreeMap::new();
--- a/crates/masticcross-entry/src/owner/loss.rs
+++ b/crates/masticcross-entry/src/owner/loss.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeSet;
 
 use masticcross_basics::{AttemptId, Code, JobKey, TaskIndex};
-use masticcross_wire::{AttemptReport, AttemptState};
+use masticcross_wire::{AttemptReport, AttemptState, StopTasks};
 
 use super::AgentId;
 use super::effect::Effect;
@@ -20,11 +20,14 @@
     }
 
     /// Notes that an agent is connected. Attempts of an earlier start of the worker are lost; those
-    /// of this start wait for what the agent reports.
+    /// of this start wait for what the agent reports, and so does a partition that recovers.
     pub(super) fn agent_found(&mut self, agent: &AgentId, cx: &mut Cx<'_>) {
-        self.set_contact(Contact::Asking, |p| {
+        let asked = self.set_contact(Contact::Asking, |p| {
             p.agent == *agent && p.contact != Contact::Good
         });
+        if !asked.is_empty() || self.wants_report_of(agent) {
+            cx.effects.push(Effect::Gather(agent.clone()));
+        }
         let lost = self.set_contact(Contact::LostSince(cx.now), |p| {
             p.agent.worker == agent.worker
                 && p.agent.incarnation < agent.incarnation
@@ -33,6 +36,20 @@
         self.wake_after_fence(&lost, cx);
     }
 
+    fn wants_report_of(&self, agent: &AgentId) -> bool {
+        match self.phase {
+            Phase::Recovering(_) => true,
+            Phase::Open => self.unstopped.contains(agent) || self.has_uncertain(),
+            Phase::Closed | Phase::Moving => false,
+        }
+    }
+
+    fn has_uncertain(&self) -> bool {
+        let is_uncertain = |state: &TaskState| *state == TaskState::Uncertain;
+        let mut tasks = self.jobs.values().flat_map(|job| &job.tasks);
+        tasks.any(|task| is_uncertain(&task.state))
+    }
+
     /// Takes over what an agent reports while the partition is open.
     pub(super) fn reported(
         &mut self,
@@ -47,6 +64,7 @@
 
     /// Concludes that attempts which the agent has not reported did not start.
     pub(super) fn report_complete(&mut self, agent: &AgentId, cx: &mut Cx<'_>) {
+        self.unstopped.remove(agent);
         for (key, index) in self.placed(|p| p.agent == *agent && p.contact == Contact::Asking) {
             self.place_again(&key, index, cx);
         }
@@ -64,11 +82,15 @@
             .get(&key)
             .and_then(|j| j.tasks.get(usize::from(index)));
         let counts = match task.map(|t| &t.state) {
-            Some(TaskState::Placed(p)) => p.attempt == attempt && p.agent == *agent,
+            Some(TaskState::Placed(p)) => {
+                let is_news = matches!(state, AttemptState::Ended(_)) || p.contact != Contact::Good;
+                p.attempt == attempt && p.agent == *agent && is_news
+            }
             Some(TaskState::Uncertain) => true,
             _ => false,
         };
         if !counts {
+            self.stop_if_ended(agent, key, attempt, &state, cx);
             return;
         }
         match state {
@@ -85,6 +107,26 @@
         }
     }
 
+    /// Stops an attempt of a job that has ended.
+    fn stop_if_ended(
+        &self,
+        agent: &AgentId,
+        key: JobKey,
+        attempt: AttemptId,
+        state: &AttemptState,
+        cx: &mut Cx<'_>,
+    ) {
+        let is_over = matches!(state, AttemptState::Ended(_));
+        if is_over || !self.ended.contains_key(&key) {
+            return;
+        }
+        let stop = StopTasks {
+            key,
+            attempts: vec![attempt],
+        };
+        cx.effects.push(Effect::Stop(agent.clone(), stop));
+    }
+
     /// Counts an attempt that an agent has as the one that counts.
     pub(super) fn adopt(
         &mut self,
--- a/crates/masticcross-entry/src/owner/mod.rs
+++ b/crates/masticcross-entry/src/owner/mod.rs
@@ -35,7 +35,7 @@
 use masticcross_basics::{AttemptId, Code, Epoch, JobKey, Name, Partition};
 use masticcross_ledger::Agreement;
 use masticcross_wire::{
-    Gathered, Handover, Incarnation, JobAnswer, JobRequest, Json, Refusal, TaskEnded,
+    Gathered, Handover, Incarnation, JobAnswer, JobRequest, Json, Refusal, TaskEnded, TaskOutcome,
 };
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::{Notify, watch};
@@ -218,7 +218,10 @@
 
     /// Takes over the end of an attempt.
     pub fn ended(&self, agent: &AgentId, ended: TaskEnded) {
+        let failed = matches!(ended.outcome, TaskOutcome::Failed(_));
+        let may_retry = !failed || self.dispatch.may_retry();
         self.decide(ended.key.partition(), |shard, cx| {
+            cx.may_retry = may_retry;
             shard.attempt_ended(agent, ended, cx);
         });
     }
--- a/crates/masticcross-entry/src/owner/placement.rs
+++ b/crates/masticcross-entry/src/owner/placement.rs
@@ -1,6 +1,5 @@
 //! Which task starts, and what the end of an attempt means.
 
-use masticcross_basics::timeline::{Event, EventKind};
 use masticcross_basics::{AttemptId, Code, JobKey, TaskIndex};
 use masticcross_wire::{JobAnswer, NotStartedReason, Refusal, TaskEnded, TaskOutcome};
 use tokio::time::Instant;
@@ -44,8 +43,6 @@
         if let Contact::LostSince(since) = contact {
             self.wake_at(since + cx.rules.fence, &waiting.key);
         }
-        let event = Event::new(EventKind::Placed).job(&waiting.key);
-        cx.event(event.task(waiting.index, attempt).worker(&agent.worker));
         Some(Grant {
             epoch,
             attempt,
@@ -141,6 +138,12 @@
                 task.state = TaskState::Idle;
                 return;
             }
+            NotStartedReason::AlreadyKnown => {
+                // An earlier attempt is there, so another one would be a second start.
+                task.state = TaskState::Uncertain;
+                cx.effects.push(Effect::Gather(agent.clone()));
+                return;
+            }
             NotStartedReason::ViewStale
             | NotStartedReason::OldEpoch
             | NotStartedReason::ZoneOut
@@ -189,7 +192,7 @@
         let task = &mut job.tasks[usize::from(index)];
         task.failures = task.failures.saturating_add(1);
         task.avoid(&agent.worker);
-        if may_retry && task.failures <= cx.rules.failure_retries {
+        if may_retry && cx.may_retry && task.failures <= cx.rules.failure_retries {
             self.reruns += 1;
             self.place_again(key, index, cx);
             return;
--- a/crates/masticcross-entry/src/owner/shard.rs
+++ b/crates/masticcross-entry/src/owner/shard.rs
@@ -47,6 +47,8 @@
 pub(super) struct Cx<'a> {
     pub now: Instant,
     pub rules: &'a Rules,
+    /// False if the retry budget is used up.
+    pub may_retry: bool,
     pub effects: Effects,
 }
 
@@ -55,6 +57,7 @@
         Self {
             now,
             rules,
+            may_retry: true,
             effects: Effects::new(),
         }
     }
@@ -76,6 +79,8 @@
     pub timers: BTreeSet<(Instant, JobKey)>,
     /// Ends of attempts that arrived while the partition recovers or moves.
     pub held: Vec<(AgentId, TaskEnded)>,
+    /// Agents without a session that have attempts of jobs which ended.
+    pub unstopped: BTreeSet<AgentId>,
     /// Starts beyond the first of a task, after a proven loss or a failure.
     pub reruns: u64,
 }
@@ -91,6 +96,7 @@
             expiry: VecDeque::new(),
             timers: BTreeSet::new(),
             held: Vec::new(),
+            unstopped: BTreeSet::new(),
             reruns: 0,
         }
     }
@@ -125,6 +131,7 @@
         self.expiry.clear();
         self.timers.clear();
         self.held.clear();
+        self.unstopped.clear();
         for (key, job) in std::mem::take(&mut self.jobs) {
             cx.effects.push(Effect::Remove(key));
             cx.effects
@@ -187,6 +194,7 @@
         if !matches!(answer, JobAnswer::Complete(_)) {
             cx.effects.push(Effect::Remove(key.clone()));
             job.stop_placed(&mut cx.effects);
+            self.unstopped.extend(job.agents_out_of_contact());
         }
         cx.event(outcome_event(key, answer));
         self.keep(key, job.digest, Some(answer.clone()), cx.now);
--- a/crates/masticcross-entry/src/owner/shell.rs
+++ b/crates/masticcross-entry/src/owner/shell.rs
@@ -9,11 +9,11 @@
 use masticcross_wire::{JobAnswer, JobRequest, Refusal};
 use tokio::time::{Instant, sleep, sleep_until};
 
-use super::Owner;
 use super::effect::{Effect, Effects, JobEnd};
 use super::settings::{Rules, limits};
 use super::shard::{Cx, Shard};
 use super::submit::Verdict;
+use super::{AgentId, Owner};
 
 /// Interval at which forgotten jobs are dropped from the tables.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
@@ -117,6 +117,7 @@
                 Effect::Remove(key) => self.dispatch.remove(&key),
                 Effect::Stop(agent, stop) => self.dispatch.stop(&agent, stop),
                 Effect::Adopt(agent, report) => self.dispatch.adopt(&agent, &report),
+                Effect::Gather(agent) => self.ask(&agent, partition),
                 Effect::Answer(waiters, answer) => {
                     let answer = self.checked_answer(partition, answer);
                     for waiter in waiters {
@@ -131,6 +132,16 @@
         }
     }
 
+    /// Asks an agent for what it knows of a partition.
+    pub(super) fn ask(&self, agent: &AgentId, partition: Partition) {
+        let Some(epoch) = self.epoch_of(partition) else {
+            return;
+        };
+        if !self.dispatch.gather_from(agent, partition, epoch) {
+            log::debug!(worker:% = agent.worker; "agent to be asked is not connected");
+        }
+    }
+
     fn note_end(&self, end: JobEnd) {
         let state = self.agreement.state();
         let limit = limits(state.config.document.as_deref()).answer_memory_bytes;
--- a/crates/masticcross-entry/src/owner/submit.rs
+++ b/crates/masticcross-entry/src/owner/submit.rs
@@ -120,6 +120,7 @@
         let event = Event::new(EventKind::Refused).job(key);
         cx.event(event.code(refusal.code).detail(why));
         let answer = JobAnswer::Refused(refusal);
+        cx.effects.push(Effect::Remove(key.clone()));
         cx.effects.push(Effect::Answer(job.waiters, answer));
     }
 
--- a/crates/masticcross-entry/src/owner/transfer.rs
+++ b/crates/masticcross-entry/src/owner/transfer.rs
@@ -1,11 +1,13 @@
 //! Planned handover: moves partitions to other members, one at a time.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use masticcross_basics::{Digest, Epoch, Name, Partition};
+use masticcross_basics::{Epoch, Partition};
 use masticcross_ledger::{PartitionClaim, PartitionsChange};
 use masticcross_log::LogError;
-use tokio::time::{Instant, sleep};
+use masticcross_wire::Member;
+use tokio::time::{Instant, sleep, timeout};
 
 use super::Owner;
 use crate::peers::Peers;
@@ -16,6 +18,9 @@
 /// Longest wait for the admissions of a partition that moves.
 const SETTLE_LIMIT: Duration = Duration::from_secs(5);
 
+/// How long members must not have changed before partitions move to balance the load.
+const STABLE_FOR: Duration = Duration::from_secs(1);
+
 /// Pause before a transfer is appended again.
 const TRANSFER_PAUSE: Duration = Duration::from_millis(100);
 
@@ -24,12 +29,30 @@
     /// Returns when nothing is owned any more, or no job runs.
     pub async fn close(&self, peers: &Peers) {
         let owned = self.owned();
-        let left = self.hand_over(peers, owned, |p| self.next_owner(p)).await;
+        let left = self.hand_over(peers, owned, |p| peers.successor(p)).await;
         for partition in left {
             self.wait_for_jobs(partition).await;
         }
     }
 
+    /// Moves partitions to the members that are preferred for them, one at a time, whenever the
+    /// members have not changed for some time. Runs until the process ends.
+    pub async fn keep_balanced(self: Arc<Self>, peers: Arc<Peers>) {
+        let mut states = self.agreement.watch();
+        loop {
+            let members = states.borrow_and_update().members.clone();
+            let stable = states.wait_for(|state| state.members != members);
+            if timeout(STABLE_FOR, stable).await.is_ok() {
+                continue;
+            }
+            let me = self.agreement.identity().name.clone();
+            let wanted = |p| peers.preferred(p).filter(|m| m.name != me);
+            let owned = self.owned().into_iter();
+            let moving = owned.filter(|p| wanted(*p).is_some()).collect();
+            self.hand_over(&peers, moving, wanted).await;
+        }
+    }
+
     /// Lists the partitions that this entry owns.
     #[must_use]
     pub fn owned(&self) -> Vec<Partition> {
@@ -44,7 +67,7 @@
         &self,
         peers: &Peers,
         partitions: Vec<Partition>,
-        choose: impl Fn(Partition) -> Option<Name>,
+        choose: impl Fn(Partition) -> Option<Member>,
     ) -> Vec<Partition> {
         let mut left = Vec::new();
         for partition in partitions {
@@ -59,7 +82,7 @@
         left
     }
 
-    async fn move_partition(&self, peers: &Peers, partition: Partition, to: &Name) -> bool {
+    async fn move_partition(&self, peers: &Peers, partition: Partition, to: &Member) -> bool {
         let Some(epoch) = self.epoch_of(partition) else {
             return true;
         };
@@ -78,14 +101,20 @@
         moved
     }
 
-    async fn try_move(&self, peers: &Peers, partition: Partition, epoch: Epoch, to: &Name) -> bool {
+    async fn try_move(
+        &self,
+        peers: &Peers,
+        partition: Partition,
+        epoch: Epoch,
+        to: &Member,
+    ) -> bool {
         if !self.wait_until_settled(partition).await {
             return false;
         }
         let frames = self.decide(partition, |shard, cx| shard.export(cx.now));
         for frame in frames {
-            if let Err(error) = peers.hand_over(to, frame).await {
-                log::warn!(partition = partition.index(), to:%, error:%; "handover failed");
+            if let Err(error) = peers.hand_over(&to.name, frame).await {
+                log::warn!(partition = partition.index(), to:% = to.name, error:%; "handover failed");
                 return false;
             }
         }
@@ -93,13 +122,10 @@
     }
 
     /// Makes the next owner the owner. Returns false once it is certain that it never will be.
-    async fn transfer(&self, partition: Partition, epoch: Epoch, to: &Name) -> bool {
-        let Some(incarnation) = self.incarnation_of(to) else {
-            return false;
-        };
+    async fn transfer(&self, partition: Partition, epoch: Epoch, to: &Member) -> bool {
         let change = PartitionsChange::Transfer {
-            owner: to.clone(),
-            incarnation,
+            owner: to.name.clone(),
+            incarnation: to.incarnation,
             claim: PartitionClaim {
                 partition,
                 previous: epoch,
@@ -108,10 +134,17 @@
         let mut may_appear = false;
         loop {
             match self.agreement.append(change.clone()).await {
-                Ok(offset) => return self.is_released_at(partition, epoch, offset).await,
+                Ok(offset) => {
+                    if self.is_released_at(partition, epoch, offset).await {
+                        return true;
+                    }
+                    if !may_appear {
+                        return false;
+                    }
+                }
                 Err(LogError::Unknown(_)) => may_appear = true,
                 Err(error) if !may_appear => {
-                    log::warn!(partition = partition.index(), to:%, error:%; "transfer failed");
+                    log::warn!(partition = partition.index(), to:% = to.name, error:%; "transfer failed");
                     return false;
                 }
                 Err(_) => {}
@@ -124,11 +157,6 @@
         }
     }
 
-    fn incarnation_of(&self, member: &Name) -> Option<u64> {
-        let state = self.agreement.state();
-        state.members.get(member).map(|m| m.incarnation)
-    }
-
     async fn wait_until_settled(&self, partition: Partition) -> bool {
         let limit = Instant::now() + SETTLE_LIMIT;
         while Instant::now() < limit {
@@ -170,20 +198,4 @@
             sleep(SETTLE_INTERVAL).await;
         }
     }
-
-    /// Chooses the next owner of a partition among the other members by rendezvous hashing.
-    fn next_owner(&self, partition: Partition) -> Option<Name> {
-        let me = self.agreement.identity();
-        let state = self.agreement.state();
-        let others = state.members.keys().filter(|name| **name != me.name);
-        others
-            .max_by_key(|name| (rendezvous_weight(name, partition), (*name).clone()))
-            .cloned()
-    }
-}
-
-/// Returns the weight of a member for a partition.
-fn rendezvous_weight(member: &Name, partition: Partition) -> u64 {
-    let index = partition.index().to_le_bytes();
-    Digest::of([member.as_bytes(), &index]).0[0]
 }
