--- a/crates/masticcross-entry/src/owner/ownership.rs
+++ b/crates/masticcross-entry/src/owner/ownership.rs
@@ -140,7 +140,7 @@
         self.phase_changed();
     }
 
-    /// Waits until all connected agents have answered, at most until a time.
+    /// Waits until all registered agents have answered, at most until a time.
     async fn wait_for_agents(&self, acquired: &Acquired, until: Instant) {
         let mut phases = self.phases.subscribe();
         while !self.have_answered(acquired) {
@@ -151,7 +151,7 @@
     }
 
     fn have_answered(&self, acquired: &Acquired) -> bool {
-        let agents = self.connected_agents();
+        let agents = registered_agents(&self.agreement.state());
         acquired.iter().all(|(partition, epoch)| {
             let shard = self.shards[usize::from(partition.index())].lock();
             match &shard.phase {
@@ -197,6 +197,16 @@
     }
 }
 
+fn registered_agents(state: &AgreedState) -> Vec<AgentId> {
+    let agents = state.agents.iter();
+    agents
+        .map(|(worker, entry)| AgentId {
+            worker: worker.clone(),
+            incarnation: entry.incarnation,
+        })
+        .collect()
+}
+
 fn by_partition(
     entries: Vec<Recent>,
     wanted: &BTreeSet<Partition>,
--- a/crates/masticcross-entry/src/owner/settings.rs
+++ b/crates/masticcross-entry/src/owner/settings.rs
@@ -11,8 +11,8 @@
     pub failure_retries: u8,
     /// Most submissions that wait for the same job.
     pub max_waiters: usize,
-    /// How long a recovering partition waits for agents that are connected but have not answered,
-    /// after the fence.
+    /// How long a recovering partition waits for registered agents that have not answered, after the
+    /// fence.
     pub gather_grace: Duration,
     /// How long a question waits for a partition that recovers or moves.
     pub query_wait: Duration,
--- /dev/null
+++ b/crates/masticcross-entry/tests/support/cluster.rs
@@ -0,0 +1,287 @@
+//! A whole system: entries, agents, callers, and the faults that a schedule names.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use masticcross_basics::{JobKey, Name};
+use masticcross_ledger::publish::{PublishOutcome, publish, read_config};
+use masticcross_standins::log::{MemoryLog, MemoryLogSettings};
+use masticcross_wire::{JobAnswer, JobRequest, Json};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep};
+
+use super::net::Net;
+use super::node::{AgentNode, EntryNode, EntrySettings};
+use super::observer::Observer;
+
+/// The service of all jobs.
+pub const SERVICE: &str = "quote-desk";
+
+const TEAM: &str = "desk";
+const LATENCY: Duration = Duration::from_micros(500);
+const ZONES: [&str; 3] = ["north", "south", "east"];
+
+/// A whole system in one test process.
+pub struct Cluster {
+    pub net: Net,
+    pub log: MemoryLog,
+    pub observer: Arc<Observer>,
+    pub entries: BTreeMap<usize, EntryNode>,
+    pub agents: BTreeMap<usize, AgentNode>,
+    pub settings: EntrySettings,
+    slots: u16,
+    next_incarnation: u64,
+    callers: Vec<(Name, JoinHandle<()>)>,
+    document: String,
+}
+
+impl Cluster {
+    /// Starts entries and agents, spread over the zones, with a log that holds the configuration.
+    pub async fn start(entries: usize, agents: usize, settings: EntrySettings) -> Self {
+        let log = MemoryLog::new(MemoryLogSettings::default());
+        let document = document(&[]);
+        let outcome = publish(&log, 0, "test", &document).await;
+        assert_eq!(outcome.ok(), Some(PublishOutcome::Accepted(1)));
+        let mut cluster = Self {
+            net: Net::new(LATENCY),
+            log,
+            observer: Arc::default(),
+            entries: BTreeMap::new(),
+            agents: BTreeMap::new(),
+            settings,
+            slots: 4,
+            next_incarnation: 1,
+            callers: Vec::new(),
+            document,
+        };
+        for index in 0..entries {
+            cluster.start_entry(index);
+        }
+        for index in 0..agents {
+            cluster.start_agent(index);
+        }
+        cluster
+    }
+
+    /// Waits until every partition is open and every agent may start tasks.
+    pub async fn ready(&self) {
+        for _ in 0..400 {
+            let open: usize = self
+                .entries
+                .values()
+                .map(|e| e.owner.counts().open_partitions)
+                .sum();
+            let mut agents = self.agents.values();
+            let fresh = agents.all(|a| {
+                let view = a.agent.core().view();
+                view.is_fresh(Instant::now()) && view.view().is_some_and(|v| v.registered)
+            });
+            if open == 64 && fresh {
+                return;
+            }
+            sleep(Duration::from_millis(25)).await;
+        }
+        panic!("the system is not ready");
+    }
+
+    /// Starts an entry, or a later start of it.
+    pub fn start_entry(&mut self, index: usize) {
+        let incarnation = self.incarnation();
+        let name = format!("entry-{index}");
+        let zone = ZONES[index % ZONES.len()];
+        let addr = entry_addr(index);
+        let node = EntryNode::start(
+            &self.net,
+            &self.log,
+            &name,
+            zone,
+            incarnation,
+            addr,
+            &self.settings,
+        );
+        self.observer.note(format!("start {}", node.process));
+        self.entries.insert(index, node);
+    }
+
+    /// Starts an agent, or a later start of it.
+    pub fn start_agent(&mut self, index: usize) {
+        let incarnation = self.incarnation();
+        let worker = format!("worker-{index}");
+        let zone = ZONES[index % ZONES.len()];
+        let addrs = (0..3).map(entry_addr).collect();
+        let node = AgentNode::start(
+            &self.net,
+            &self.observer,
+            &worker,
+            zone,
+            incarnation,
+            addrs,
+            self.slots,
+        );
+        self.observer.note(format!("start {}", node.process));
+        self.agents.insert(index, node);
+    }
+
+    /// Kills an entry. Its callers lose their connections.
+    pub fn kill_entry(&mut self, index: usize) {
+        let Some(node) = self.entries.remove(&index) else {
+            return;
+        };
+        self.observer.note(format!("kill {}", node.process));
+        for (entry, caller) in &self.callers {
+            if *entry == node.process {
+                caller.abort();
+            }
+        }
+        node.kill(&self.net, &self.log);
+    }
+
+    /// Kills an agent and what runs there.
+    pub fn kill_agent(&mut self, index: usize) {
+        if let Some(node) = self.agents.remove(&index) {
+            self.observer.note(format!("kill {}", node.process));
+            node.kill(&self.net, &self.observer);
+        }
+    }
+
+    /// Stops an entry in order. Returns true if it handed everything over in time.
+    pub async fn close_entry(&mut self, index: usize) -> bool {
+        let Some(node) = self.entries.remove(&index) else {
+            return true;
+        };
+        self.observer.note(format!("close {}", node.process));
+        node.close(&self.net, Duration::from_secs(10)).await
+    }
+
+    /// Submits a job through an entry, as a caller of its own.
+    pub fn submit(&mut self, entry: usize, request: JobRequest) {
+        let Some(node) = self.entries.get(&entry) else {
+            return;
+        };
+        let (router, process) = (node.router.clone(), node.process.clone());
+        let observer = self.observer.clone();
+        let id = observer.submitted(&request);
+        let guard = ConnectionGuard {
+            observer: observer.clone(),
+            id: Some(id),
+        };
+        let caller = tokio::spawn(async move {
+            let mut guard = guard;
+            let answer = router.submit(request).await;
+            guard.id = None;
+            observer.answered(id, &answer);
+        });
+        self.callers.push((process, caller));
+    }
+
+    /// Submits a job and returns its answer.
+    pub async fn ask(&self, entry: usize, request: JobRequest) -> JobAnswer {
+        let node = &self.entries[&entry];
+        let id = self.observer.submitted(&request);
+        let answer = node.router.submit(request).await;
+        self.observer.answered(id, &answer);
+        answer
+    }
+
+    /// Waits until every caller has its answer.
+    pub async fn callers_done(&mut self) {
+        for (_, caller) in self.callers.drain(..) {
+            // An aborted caller lost its connection.
+            let _ = caller.await;
+        }
+    }
+
+    /// Publishes a document with some zones out of service. Returns true if it was accepted.
+    pub async fn publish_zones_out(&mut self, out: &[&str]) -> bool {
+        let log = self.log.client("operator");
+        let Ok(history) = read_config(&log).await else {
+            return false;
+        };
+        let text = document(out);
+        let version = history.config.version;
+        let accepted = matches!(
+            publish(&log, version, "operator", &text).await,
+            Ok(PublishOutcome::Accepted(_))
+        );
+        if accepted {
+            for zone in ZONES {
+                let was_out = self.document.contains(&zone_lines(zone, false));
+                let is_out = out.contains(&zone);
+                if was_out != is_out {
+                    self.observer.zone(&Name::from(zone), !is_out);
+                }
+            }
+            self.document = text;
+        }
+        accepted
+    }
+
+    /// Tells the observer which versions are in force.
+    pub fn observe_versions(&self) {
+        for node in self.entries.values() {
+            let version = node.agreement.state().config.version;
+            self.observer.version(&node.process, version);
+        }
+        for node in self.agents.values() {
+            if let Some(view) = node.agent.core().view().view() {
+                self.observer.version(&node.process, view.config_version);
+            }
+        }
+    }
+
+    fn incarnation(&mut self) -> u64 {
+        self.next_incarnation += 1;
+        self.next_incarnation
+    }
+}
+
+/// Tells the observer of a caller that goes without an answer.
+struct ConnectionGuard {
+    observer: Arc<Observer>,
+    id: Option<super::observer::SubmissionId>,
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        if let Some(id) = self.id {
+            self.observer.connection_lost(id);
+        }
+    }
+}
+
+/// Returns a request of tasks that run for the times given.
+pub fn request(job: &str, run_ms: &[u64], deadline_ms: u32, repeatable: bool) -> JobRequest {
+    JobRequest {
+        key: JobKey {
+            service: Name::from(SERVICE),
+            job: Name::from(job),
+        },
+        team: Name::from(TEAM),
+        repeatable,
+        deadline_ms,
+        tasks: run_ms
+            .iter()
+            .map(|ms| super::backend::payload(*ms))
+            .collect::<Vec<Json>>(),
+    }
+}
+
+fn entry_addr(index: usize) -> SocketAddr {
+    let port = 7_000 + u16::try_from(index).expect("few entries");
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn zone_lines(zone: &str, in_service: bool) -> String {
+    format!("[zones.{zone}]\nin_service = {in_service}\n")
+}
+
+fn document(out: &[&str]) -> String {
+    let mut text = String::from("schema = 1\n\n[services.quote-desk]\nmax_deadline_ms = 30000\n\n");
+    for zone in ZONES {
+        text.push_str(&zone_lines(zone, !out.contains(&zone)));
+    }
+    text.push_str("\n[teams.desk]\nweight = 1\n");
+    text
+}
--- /dev/null
+++ b/crates/masticcross-entry/tests/support/node.rs
@@ -0,0 +1,226 @@
+//! One entry and one agent as processes that can be killed.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use masticcross_agent::Agent;
+use masticcross_basics::Name;
+use masticcross_basics::timeline::Timeline;
+use masticcross_entry::Identity;
+use masticcross_entry::admission::{AdmissionSettings, Admissions};
+use masticcross_entry::dispatch::Dispatch;
+use masticcross_entry::owner::{Owner, OwnerSettings};
+use masticcross_entry::peers::Peers;
+use masticcross_entry::router::Router;
+use masticcross_ledger::{Agreement, LedgerIdentity};
+use masticcross_standins::log::MemoryLog;
+use masticcross_wire::{Frame, Incarnation, Link, Role};
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+use tokio::time::timeout;
+
+use super::backend::{MemoryBackend, announcement};
+use super::net::Net;
+use super::observer::{Observer, Place};
+
+const REGION: &str = "west";
+const TIMELINE_EVENTS: usize = 4_096;
+const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Settings that a test may change.
+#[derive(Debug, Clone, Default)]
+pub struct EntrySettings {
+    pub owner: OwnerSettings,
+    pub admissions: AdmissionSettings,
+}
+
+/// An entry's process.
+pub struct EntryNode {
+    /// Name of this start on the network and at the log.
+    pub process: Name,
+    pub name: Name,
+    pub agreement: Arc<Agreement>,
+    pub owner: Arc<Owner>,
+    pub peers: Arc<Peers>,
+    pub router: Arc<Router>,
+    tasks: JoinSet<()>,
+}
+
+impl EntryNode {
+    /// Starts an entry.
+    pub fn start(
+        net: &Net,
+        log: &MemoryLog,
+        name: &str,
+        zone: &str,
+        incarnation: Incarnation,
+        addr: SocketAddr,
+        settings: &EntrySettings,
+    ) -> Self {
+        let process = Name::from(format!("{name}/{incarnation}"));
+        let identity = Identity {
+            name: Name::from(name),
+            incarnation,
+            region: Name::from(REGION),
+            zone: Name::from(zone),
+            peer_addr: addr,
+        };
+        let log: Arc<MemoryLog> = Arc::new(log.client(&process));
+        let timeline = Timeline::new(identity.name.clone(), TIMELINE_EVENTS);
+        let ledger = LedgerIdentity {
+            name: identity.name.clone(),
+            incarnation,
+            region: identity.region.clone(),
+        };
+        let agreement = Agreement::new(ledger, log.clone(), timeline.clone());
+        let admissions =
+            Admissions::with_settings(identity.clone(), log, settings.admissions.clone());
+        let dispatch = Dispatch::new(identity.clone(), agreement.clone(), timeline.clone());
+        let owner = Owner::with_settings(
+            agreement.clone(),
+            admissions.clone(),
+            dispatch.clone(),
+            timeline.clone(),
+            settings.owner.clone(),
+        );
+        dispatch.bind(Arc::downgrade(&owner));
+        let peers = Peers::new(
+            identity.clone(),
+            agreement.clone(),
+            net.dialer(&process),
+            timeline,
+        );
+        let router = Router::new(agreement.clone(), owner.clone(), peers.clone());
+        let mut tasks = JoinSet::new();
+        tasks.spawn(agreement.clone().run());
+        tasks.spawn(admissions.run());
+        tasks.spawn(owner.clone().run());
+        tasks.spawn(owner.clone().keep_balanced(peers.clone()));
+        tasks.spawn(peers.clone().run());
+        let links = net.listen(&process, addr);
+        tasks.spawn(accept(links, dispatch, peers.clone(), owner.clone()));
+        Self {
+            process,
+            name: identity.name,
+            agreement,
+            owner,
+            peers,
+            router,
+            tasks,
+        }
+    }
+
+    /// Ends the process at once.
+    pub fn kill(mut self, net: &Net, log: &MemoryLog) {
+        net.kill(&self.process);
+        log.faults().change_for(&self.process, |f| f.down = true);
+        self.tasks.abort_all();
+    }
+
+    /// Stops the process in order.
+    pub async fn close(mut self, net: &Net, limit: Duration) -> bool {
+        self.peers.drain();
+        let closed = timeout(limit, self.owner.close(&self.peers)).await.is_ok();
+        self.peers.close().await;
+        net.kill(&self.process);
+        self.tasks.abort_all();
+        closed
+    }
+}
+
+async fn accept(
+    mut links: mpsc::Receiver<Link>,
+    dispatch: Arc<Dispatch>,
+    peers: Arc<Peers>,
+    owner: Arc<Owner>,
+) {
+    let mut sessions = JoinSet::new();
+    while let Some(link) = links.recv().await {
+        sessions.spawn(serve(link, dispatch.clone(), peers.clone(), owner.clone()));
+    }
+}
+
+async fn serve(mut link: Link, dispatch: Arc<Dispatch>, peers: Arc<Peers>, owner: Arc<Owner>) {
+    let first = timeout(HELLO_TIMEOUT, link.rx.recv()).await;
+    let Ok(Some(Frame::Hello(hello))) = first else {
+        return;
+    };
+    match hello.role {
+        Role::Agent => {
+            let (worker, incarnation) = (hello.name.clone(), hello.incarnation);
+            peers.register_agent(&worker, incarnation, &hello.zone);
+            dispatch.serve_agent(hello, link).await;
+            peers.agent_lost(&worker, incarnation);
+        }
+        Role::Entry => peers.serve_peer(hello, link, owner).await,
+    }
+}
+
+/// An agent's process, with its backend server.
+pub struct AgentNode {
+    pub process: Name,
+    pub worker: Name,
+    pub zone: Name,
+    pub agent: Arc<Agent>,
+    pub fails: Arc<AtomicBool>,
+    dead: Arc<AtomicBool>,
+    task: tokio::task::JoinHandle<()>,
+}
+
+impl AgentNode {
+    /// Starts an agent whose backend server has a number of slots.
+    pub fn start(
+        net: &Net,
+        observer: &Arc<Observer>,
+        worker: &str,
+        zone: &str,
+        incarnation: Incarnation,
+        entries: Vec<SocketAddr>,
+        slots: u16,
+    ) -> Self {
+        let process = Name::from(format!("{worker}/{incarnation}"));
+        let place = Place {
+            worker: Name::from(worker),
+            incarnation,
+            zone: Name::from(zone),
+        };
+        let dead = Arc::new(AtomicBool::new(false));
+        let fails = Arc::new(AtomicBool::new(false));
+        let backend = MemoryBackend {
+            place,
+            observer: observer.clone(),
+            dead: dead.clone(),
+            fails: fails.clone(),
+        };
+        let settings = masticcross_agent::Settings::new(
+            Name::from(worker),
+            Name::from(zone),
+            entries,
+            incarnation,
+        );
+        let timeline = Timeline::new(Name::from(worker), TIMELINE_EVENTS);
+        let agent = Agent::new(settings, net.dialer(&process), Arc::new(backend), timeline)
+            .expect("an agent can be created");
+        agent.announce(announcement(&Name::from(worker), slots));
+        let task = tokio::spawn(agent.clone().run());
+        Self {
+            process,
+            worker: Name::from(worker),
+            zone: Name::from(zone),
+            agent,
+            fails,
+            dead,
+            task,
+        }
+    }
+
+    /// Ends the process at once, its tasks with it.
+    pub fn kill(self, net: &Net, observer: &Observer) {
+        observer.disturbed(&self.worker);
+        self.dead.store(true, Ordering::Relaxed);
+        net.kill(&self.process);
+        self.task.abort();
+    }
+}
--- /dev/null
+++ b/crates/masticcross-entry/tests/support/schedule.rs
@@ -0,0 +1,1 @@
+//! Seeded schedules of faults.
