Name regional streams with a dot, wire the load generator

Change: region_stream() joins stream and region with a dot for all users; masticcross load. Conclusion: stream names follow the naming rules of the log's interface.

--- a/crates/masticcross-entry/src/admission/mod.rs
+++ b/crates/masticcross-entry/src/admission/mod.rs
@@ -13,7 +13,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use masticcross_ledger::{ADMISSIONS_STREAM, AdmissionRecord, EndedRecord};
+use masticcross_ledger::{ADMISSIONS_STREAM, AdmissionRecord, EndedRecord, region_stream};
 use masticcross_log::{Log, LogError, Offset};
 use parking_lot::Mutex;
 use tokio::sync::{Notify, oneshot};
@@ -110,7 +110,7 @@
         log: Arc<dyn Log>,
         settings: AdmissionSettings,
     ) -> Arc<Self> {
-        let stream = format!("{ADMISSIONS_STREAM}/{}", identity.region);
+        let stream = region_stream(ADMISSIONS_STREAM, &identity.region);
         Arc::new(Self {
             identity,
             log,
--- a/crates/masticcross-ledger/src/agreement.rs
+++ b/crates/masticcross-ledger/src/agreement.rs
@@ -17,7 +17,7 @@
 use crate::record::PartitionsChange;
 use crate::settings::{AgreementSettings, times_or_default};
 use crate::state::AgreedState;
-use crate::{CONFIG_STREAM, PARTITIONS_STREAM, snapshot, tail};
+use crate::{CONFIG_STREAM, PARTITIONS_STREAM, region_stream, snapshot, tail};
 
 /// Result of an append.
 pub type Result<T> = std::result::Result<T, LogError>;
@@ -85,7 +85,7 @@
         timeline: Timeline,
         settings: AgreementSettings,
     ) -> Arc<Self> {
-        let partitions_stream = format!("{PARTITIONS_STREAM}/{}", identity.region);
+        let partitions_stream = region_stream(PARTITIONS_STREAM, &identity.region);
         Arc::new(Self {
             appender: Appender::new(&identity, settings.seed),
             identity,
--- a/crates/masticcross-ledger/src/lib.rs
+++ b/crates/masticcross-ledger/src/lib.rs
@@ -37,3 +37,9 @@
 
 /// Stream of admitted jobs. Its name ends with the region's.
 pub const ADMISSIONS_STREAM: &str = "admissions";
+
+/// Returns the name of a region's stream.
+#[must_use]
+pub fn region_stream(stream: &str, region: &str) -> String {
+    format!("{stream}.{region}")
+}
--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -5,6 +5,7 @@
 use bpaf::{Parser, construct, long};
 use eyre::{Result, ensure};
 use masticcross_basics::logging::{self, LogFormat};
+use masticcross_entry::Entry;
 use tokio::time::{Instant, sleep_until};
 
 use super::{Command, runtime, stop_signal};
@@ -107,7 +108,7 @@
 
 /// Submits the sample job, then the same job through another entry, and compares.
 async fn show_sample(cluster: &Cluster, deployment: Deployment) -> Result<()> {
-    let addrs: Vec<_> = cluster.live_entries().map(|e| e.callers_addr()).collect();
+    let addrs: Vec<_> = cluster.live_entries().map(Entry::callers_addr).collect();
     let first = sample::submit(deployment, addrs[0], "sample-1").await?;
     println!("Answer: {}", String::from_utf8_lossy(&first.body));
     println!(
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,10 +1,12 @@
 //! The subcommands, one module each.
 
 pub mod demo;
+pub mod load;
 pub mod publish;
 pub mod serve;
 
 use eyre::{Result, WrapErr};
+use masticcross_standins::load::LoadArgs;
 
 /// A parsed command line.
 #[derive(Debug, Clone)]
@@ -13,6 +15,8 @@
     Serve(serve::Args),
     /// Run the whole system in one process.
     Demo(demo::Args),
+    /// Send jobs and report what callers see.
+    Load(LoadArgs),
     /// Publish a configuration document.
     Publish(publish::PublishArgs),
     /// Take an availability zone out of service.
@@ -30,6 +34,7 @@
         match self {
             Self::Serve(args) => serve::execute(args),
             Self::Demo(args) => demo::execute(args),
+            Self::Load(args) => load::execute(args),
             Self::Publish(args) => publish::execute(&args),
             Self::Drain(args) => publish::execute_zone(&args, false),
             Self::Restore(args) => publish::execute_zone(&args, true),
--- a/src/main.rs
+++ b/src/main.rs
@@ -41,8 +41,9 @@
 fn command() -> impl Parser<Command> {
     let serve = cmd::serve::command();
     let demo = cmd::demo::command();
+    let load = cmd::load::command();
     let publish = cmd::publish::publish_command();
     let drain = cmd::publish::drain_command();
     let restore = cmd::publish::restore_command();
-    construct!([serve, demo, publish, drain, restore])
+    construct!([serve, demo, load, publish, drain, restore])
 }
