--- a/src/cmd/load.rs
+++ b/src/cmd/load.rs
@@ -1,17 +1,30 @@
 //! `masticcross load`: sends jobs and reports what callers see.
 
 use bpaf::Parser;
+use eyre::Result;
+use masticcross_basics::logging::{self, LogFormat};
 use masticcross_standins::load::{self, LoadArgs, load_args};
 
-/// Parses the flags of the subcommand.
-pub fn command() -> impl Parser<LoadArgs> {
+use super::{Command, runtime};
+
+/// Arguments of the command.
+pub type Args = LoadArgs;
+
+/// Returns the parser of the command.
+pub fn command() -> impl Parser<Command> {
     load_args()
+        .to_options()
+        .descr("Send jobs and report what callers see")
+        .command("load")
+        .help("Send jobs and report what callers see")
+        .map(Command::Load)
 }
 
-/// Runs the subcommand.
+/// Runs the command.
 ///
 /// # Errors
 /// Fails if the run could not be made, or with `--strict` if a promise was broken.
-pub async fn run(args: LoadArgs) -> eyre::Result<()> {
-    Ok(load::run(args).await?)
+pub fn execute(args: Args) -> Result<()> {
+    logging::init_with_default(LogFormat::Text, "warn");
+    Ok(runtime()?.block_on(load::run(args))?)
 }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,6 +1,7 @@
 //! The subcommands, one module each.
 
 pub mod demo;
+pub mod load;
 pub mod publish;
 pub mod serve;
 
@@ -19,6 +20,8 @@
     Drain(publish::ZoneArgs),
     /// Bring an availability zone back into service.
     Restore(publish::ZoneArgs),
+    /// Send jobs and report what callers see.
+    Load(load::Args),
 }
 
 impl Command {
@@ -33,6 +36,7 @@
             Self::Publish(args) => publish::execute(&args),
             Self::Drain(args) => publish::execute_zone(&args, false),
             Self::Restore(args) => publish::execute_zone(&args, true),
+            Self::Load(args) => load::execute(args),
         }
     }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -44,5 +44,6 @@
     let publish = cmd::publish::publish_command();
     let drain = cmd::publish::drain_command();
     let restore = cmd::publish::restore_command();
-    construct!([serve, demo, publish, drain, restore])
+    let load = cmd::load::command();
+    construct!([serve, demo, publish, drain, restore, load])
 }
