Add the TCP relay with faults

Cause: tests with separate processes need connections that are cut, frozen in one direction or delayed.

--- a/crates/masticcross-standins/src/lib.rs
+++ b/crates/masticcross-standins/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`log`]: the platform's log in memory, with faults that tests set, and its HTTP server.
 //! - [`backend`]: a backend server that waits instead of working, and counts what it starts.
 //! - [`http`]: HTTP plumbing that the stand-ins share.
+//! - [`relay`]: a TCP relay that cuts, freezes and delays connections.
 //! - [`signal`]: start and stop as processes.
 //!
 //! ```
@@ -20,4 +21,5 @@
 pub mod http;
 pub mod load;
 pub mod log;
+pub mod relay;
 pub mod signal;
--- /dev/null
+++ b/crates/masticcross-standins/src/relay/handler.rs
@@ -0,0 +1,59 @@
+//! The relay's HTTP interface.
+
+use std::sync::Arc;
+
+use futures_util::future::BoxFuture;
+use http::{Method, Request, StatusCode};
+use hyper::body::Incoming;
+
+use super::{OpenConnections, Relay, RelayFaults};
+use crate::http::server::{Handler, HangUp};
+use crate::http::{self as answer, Answer};
+
+/// Largest accepted document of faults, in bytes.
+const MAX_FAULTS_BYTES: usize = 64 * 1024;
+
+/// Serves the faults and connections of a relay.
+#[derive(Debug)]
+pub struct RelayHandler {
+    faults: RelayFaults,
+    open: OpenConnections,
+}
+
+impl RelayHandler {
+    /// Creates a handler for a relay.
+    #[must_use]
+    pub fn new(relay: &Relay) -> Arc<Self> {
+        Arc::new(Self {
+            faults: relay.faults.clone(),
+            open: relay.open.clone(),
+        })
+    }
+
+    async fn route(&self, request: Request<Incoming>) -> Answer {
+        match (request.method(), request.uri().path()) {
+            (&Method::GET, "/v1/connections") => answer::json(StatusCode::OK, &self.open.list()),
+            (&Method::PUT, "/v1/faults") => self.set_faults(request).await,
+            _ => answer::error(StatusCode::NOT_FOUND, "no such resource"),
+        }
+    }
+
+    async fn set_faults(&self, request: Request<Incoming>) -> Answer {
+        match answer::receive_json(request.into_body(), MAX_FAULTS_BYTES).await {
+            Ok(table) => {
+                self.faults.replace(table);
+                answer::empty(StatusCode::NO_CONTENT)
+            }
+            Err(e) => answer::error(StatusCode::BAD_REQUEST, e),
+        }
+    }
+}
+
+impl Handler for RelayHandler {
+    fn handle(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> BoxFuture<'static, std::result::Result<Answer, HangUp>> {
+        Box::pin(async move { Ok(self.route(request).await) })
+    }
+}
