Accept slashes in names of streams over HTTP

Cause: streams of a region are named partitions/REGION; HttpLog refused them, so no entry had a fresh view when run as a separate process. Change: a slash is written as an escape in the path; the server reads it back. Each part between slashes is checked as before.

--- a/crates/masticcross-log/src/http/mod.rs
+++ b/crates/masticcross-log/src/http/mod.rs
@@ -163,9 +163,12 @@
     }
 }
 
+/// Returns the path of a stream. A slash in its name is written as an escape.
 fn stream_path(stream: &str) -> Result<String> {
-    let name = check_name(stream).map_err(not_sent)?;
-    Ok(format!("/v1/streams/{name}"))
+    for part in stream.split('/') {
+        check_name(part).map_err(not_sent)?;
+    }
+    Ok(format!("/v1/streams/{}", stream.replace('/', "%2F")))
 }
 
 /// Wraps the cause why a request could not be put together.
--- a/crates/masticcross-standins/tests/http_log.rs
+++ b/crates/masticcross-standins/tests/http_log.rs
@@ -72,6 +72,15 @@
         assert_eq!(f.log.bounds("s").await, Ok(Bounds { first: 0, next: 3 }));
     }
 
+    streams_have_slashes_in_their_names(f) {
+        let offset = f.log.append("partitions/perth", Arc::from("a")).await;
+        assert_eq!(offset, Ok(0));
+        let read = f.memory.read("partitions/perth", 0, 1, Duration::ZERO).await;
+        assert_eq!(read.expect("read").records.len(), 1);
+        let bounds = f.log.bounds("partitions").await;
+        assert_eq!(bounds, Ok(Bounds { first: 0, next: 0 }));
+    }
+
     waiting_read_ends_with_the_append(f) {
         let reader = f.log.clone();
         let read = tokio::spawn(async move { reader.read("s", 0, 1, LONG).await });
