Leave usual values out of traces

Cause: values made up half of a trace. Change: the value of a task follows from job and position; a trace names it only where it differs.

--- a/crates/masticcross-standins/src/load/arrivals.rs
+++ b/crates/masticcross-standins/src/load/arrivals.rs
@@ -102,7 +102,7 @@
             .enumerate()
             .map(|(index, ms)| TaskSpec {
                 ms,
-                value: task_value(self.plan.seed, &job, index),
+                value: task_value(&job, index),
             })
             .collect();
         let submission = Submission {
--- a/crates/masticcross-standins/src/load/submission.rs
+++ b/crates/masticcross-standins/src/load/submission.rs
@@ -103,10 +103,9 @@
     }
 }
 
-/// Returns the value of a task, different for all tasks of all jobs.
+/// Returns the usual value of a task, different for all tasks of all jobs.
 #[must_use]
-pub fn task_value(seed: u64, job: &str, index: usize) -> u64 {
-    let seed = seed.to_le_bytes();
+pub fn task_value(job: &str, index: usize) -> u64 {
     let index = (index as u64).to_le_bytes();
-    Digest::of([&seed[..], job.as_bytes(), &index[..]]).0[0] & VALUE_MASK
+    Digest::of([job.as_bytes(), &index[..]]).0[0] & VALUE_MASK
 }
--- a/crates/masticcross-standins/src/load/tests.rs
+++ b/crates/masticcross-standins/src/load/tests.rs
@@ -149,6 +149,7 @@
         let ms = u64::try_from(submission.at.as_millis()).expect("short");
         submission.at = Duration::from_millis(ms);
     }
+    written[0].tasks[0].value = 77;
     let mut file = Vec::new();
     let lines = trace::write(&mut file, written.iter().cloned()).expect("write");
     assert_eq!(lines, 50);
--- a/crates/masticcross-standins/src/load/trace.rs
+++ b/crates/masticcross-standins/src/load/trace.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use super::submission::{Submission, TaskSpec};
+use super::submission::{Submission, TaskSpec, task_value};
 
 /// Longest accepted line, in bytes.
 const MAX_LINE_BYTES: u64 = 1024 * 1024;
@@ -93,15 +93,17 @@
 #[serde(deny_unknown_fields)]
 struct LineTask {
     ms: u32,
-    value: u64,
+    /// Absent if it is the usual value.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    value: Option<u64>,
 }
 
 impl From<&Submission> for Line {
     fn from(submission: &Submission) -> Self {
         let ms = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
-        let task = |task: &TaskSpec| LineTask {
+        let task = |(index, task): (usize, &TaskSpec)| LineTask {
             ms: task.ms,
-            value: task.value,
+            value: (task.value != task_value(&submission.job, index)).then_some(task.value),
         };
         Self {
             at_ms: ms(submission.at),
@@ -111,7 +113,7 @@
             team: submission.team.to_string(),
             repeatable: submission.repeatable,
             deadline_ms: ms(submission.deadline),
-            tasks: submission.tasks.iter().map(task).collect(),
+            tasks: submission.tasks.iter().enumerate().map(task).collect(),
         }
     }
 }
@@ -125,10 +127,11 @@
         if line.tasks.is_empty() {
             return Err(LineError::NoTask);
         }
-        let task = |task: &LineTask| TaskSpec {
+        let task = |(index, task): (usize, &LineTask)| TaskSpec {
             ms: task.ms,
-            value: task.value,
+            value: task.value.unwrap_or_else(|| task_value(&line.job, index)),
         };
+        let tasks = line.tasks.iter().enumerate().map(task).collect();
         Ok(Self {
             at: checked_time("at_ms", line.at_ms)?,
             copy: line.copy,
@@ -136,7 +139,7 @@
             team: check_name(&line.team).map_err(wrong_name("team"))?,
             repeatable: line.repeatable,
             deadline: checked_time("deadline_ms", line.deadline_ms)?,
-            tasks: line.tasks.iter().map(task).collect(),
+            tasks,
             job: line.job,
         })
     }
