--- a/crates/masticcross-agent/src/core/credits.rs
+++ b/crates/masticcross-agent/src/core/credits/mod.rs
@@ -8,6 +8,9 @@
 
 use super::SessionId;
 
+#[cfg(test)]
+mod tests;
+
 /// Capacity of a service at this agent, as far as grants depend on it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Capacity {
@@ -17,6 +20,8 @@
     pub prefetch: u64,
     /// Tasks that run or wait here.
     pub busy: u64,
+    /// Entries that take part, as far as known.
+    pub entries: u64,
 }
 
 /// A session's new total of grants.
@@ -86,26 +91,34 @@
         granted
     }
 
+    /// Returns the grants that a session has not used yet.
+    #[must_use]
+    pub fn open_of(&self, session: SessionId) -> u64 {
+        self.shares.get(&session).map_or(0, Share::open)
+    }
+
     /// Returns the grants not used yet, over all sessions.
     #[must_use]
     pub fn outstanding(&self) -> u64 {
         self.shares.values().map(Share::open).sum()
     }
 
-    /// Returns the largest sum of busy places and open grants that [`Credits::grant`] allows.
+    /// Returns the largest sum of busy places and open grants that [`Credits::grant`] allows: what
+    /// sessions with need may hold together, once for each session, as need moves from one to the
+    /// other and grants stay.
     #[must_use]
     pub fn bound(&self, capacity: Capacity) -> u64 {
-        let sessions = self.shares.len() as u64;
-        capacity.slots + capacity.prefetch + sessions * self.floor(capacity)
+        let sessions = (self.shares.len() as u64).max(1);
+        sessions * (capacity.slots + capacity.prefetch)
     }
 
     /// Gives as many grants as the capacity allows. Returns the sessions whose total changed.
     pub fn grant(&mut self, capacity: Capacity) -> Vec<NewTotal> {
         let floor = self.floor(capacity);
-        while capacity.slots > 0 && self.needed(capacity) < capacity.slots + capacity.prefetch {
-            let Some(session) = self.next(floor) else {
-                break;
-            };
+        if capacity.slots == 0 {
+            return Vec::new();
+        }
+        while let Some(session) = self.next(floor, self.room(capacity)) {
             self.turns += 1;
             let turns = self.turns;
             if let Some(share) = self.shares.get_mut(&session) {
@@ -116,28 +129,37 @@
         self.take_changes()
     }
 
-    /// Returns the grants that each session may hold while no task waits anywhere.
+    /// Returns the grants that each session may hold while no task waits anywhere: an equal share of
+    /// the slots, or a single one until the number of entries is known.
     fn floor(&self, capacity: Capacity) -> u64 {
-        let sessions = (self.shares.len() as u64).max(1);
-        (capacity.slots / sessions).max(1)
+        if capacity.entries == 0 {
+            return 1;
+        }
+        let entries = capacity.entries.max(self.shares.len() as u64);
+        (capacity.slots / entries).max(1)
     }
 
-    /// Counts busy places and the grants that will be used soon.
-    fn needed(&self, capacity: Capacity) -> u64 {
+    /// Returns the places that are neither busy nor promised to sessions with need.
+    fn room(&self, capacity: Capacity) -> u64 {
         let hungry = self.shares.values().filter(|s| s.waiting > 0);
-        capacity.busy + hungry.map(Share::open).sum::<u64>()
+        let needed = capacity.busy + hungry.map(Share::open).sum::<u64>();
+        (capacity.slots + capacity.prefetch).saturating_sub(needed)
     }
 
-    /// Picks the session with the highest unmet need, then one below the floor. Among equals the one
-    /// that had to wait longest comes first.
-    fn next(&self, floor: u64) -> Option<SessionId> {
+    /// Picks the session with the highest unmet need, then one below the floor that has not used up
+    /// the room itself. Among equals the one that had to wait longest comes first.
+    fn next(&self, floor: u64, room: u64) -> Option<SessionId> {
+        if room == 0 {
+            return None;
+        }
         let hungriest = self
             .shares
             .iter()
             .filter(|(_, s)| s.unmet() > 0)
             .min_by_key(|(_, s)| (std::cmp::Reverse(s.unmet()), s.turn));
         let idle = || {
-            let below = self.shares.iter().filter(|(_, s)| s.open() < floor);
+            let least = floor.min(room);
+            let below = self.shares.iter().filter(|(_, s)| s.open() < least);
             below.min_by_key(|(_, s)| (s.open(), s.turn))
         };
         hungriest.or_else(idle).map(|(session, _)| *session)
--- a/crates/masticcross-agent/src/core/mod.rs
+++ b/crates/masticcross-agent/src/core/mod.rs
@@ -19,6 +19,9 @@
 pub mod starts;
 pub mod view;
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -196,6 +199,7 @@
         let mut state = self.state.lock();
         self.note_freshness(&mut state, now);
         self.resend_after(&mut state, &change);
+        self.grant(&mut state, now);
     }
 
     /// Notes how many tasks of a service wait at a session's entry.
@@ -315,7 +319,8 @@
         }
         let services: Vec<Name> = state.credits.keys().cloned().collect();
         for service in services {
-            let capacity = state.capacity(&service, &self.limits, now);
+            let entries = self.view.view().map_or(0, |view| view.members.len());
+            let capacity = state.capacity(&service, &self.limits, entries, now);
             let Some(credits) = state.credits.get_mut(&service) else {
                 continue;
             };
@@ -345,7 +350,13 @@
 }
 
 impl State {
-    fn capacity(&self, service: &Name, limits: &AgentLimits, now: Instant) -> Capacity {
+    fn capacity(
+        &self,
+        service: &Name,
+        limits: &AgentLimits,
+        entries: usize,
+        now: Instant,
+    ) -> Capacity {
         let slots = self.backends.places(service, now);
         let running = self
             .running
@@ -356,6 +367,7 @@
             slots,
             prefetch: limits.prefetch_for(slots),
             busy: busy as u64,
+            entries: entries as u64,
         }
     }
 
--- a/crates/masticcross-agent/src/core/starts.rs
+++ b/crates/masticcross-agent/src/core/starts.rs
@@ -51,10 +51,12 @@
             return Vec::new();
         };
         let deadline = now + Duration::from_millis(start.left_ms.into());
+        let mut runs = Vec::new();
         for task in &start.tasks {
             self.arrive(&mut state, session, &origin, start, task, deadline, now);
+            runs.extend(self.fill_places(&mut state, now));
         }
-        let runs = self.dispatch(&mut state, now);
+        self.grant(&mut state, now);
         state.attempts.trim(now);
         runs
     }
@@ -213,6 +215,12 @@
 
     /// Starts waiting tasks while places are free, then grants what is left.
     pub(super) fn dispatch(&self, state: &mut State, now: Instant) -> Vec<Run> {
+        let runs = self.fill_places(state, now);
+        self.grant(state, now);
+        runs
+    }
+
+    fn fill_places(&self, state: &mut State, now: Instant) -> Vec<Run> {
         let mut runs = Vec::new();
         for service in state.queue.services() {
             while state.queue.len(&service) > 0 {
@@ -228,7 +236,6 @@
                 }
             }
         }
-        self.grant(state, now);
         runs
     }
 
--- a/crates/masticcross-agent/src/core/view.rs
+++ b/crates/masticcross-agent/src/core/view/mod.rs
@@ -8,6 +8,9 @@
 use parking_lot::RwLock;
 use tokio::time::Instant;
 
+#[cfg(test)]
+mod tests;
+
 /// Result of a check against the view.
 pub type Result<T> = std::result::Result<T, NotStartedReason>;
 
