Ask the gate of a start in the entry's test backend, and drop a doubled match arm

Change: the later arm goes; the backend server in memory asks the gate and counts a start only after it.

--- a/crates/masticcross-entry/src/owner/placement.rs
+++ b/crates/masticcross-entry/src/owner/placement.rs
@@ -150,8 +150,7 @@
             | NotStartedReason::NoBackend
             | NotStartedReason::NoRoom
             | NotStartedReason::ShuttingDown
-            | NotStartedReason::ConnectFailed
-            | NotStartedReason::AlreadyKnown => task.avoid(&agent.worker),
+            | NotStartedReason::ConnectFailed => task.avoid(&agent.worker),
         }
         let pause = task.next_pause();
         if pause.is_zero() {
--- a/crates/masticcross-entry/tests/support/backend.rs
+++ b/crates/masticcross-entry/tests/support/backend.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use futures_util::future::BoxFuture;
-use masticcross_agent::{Announcement, BackendClient, RunOutcome, TaskBody};
+use masticcross_agent::{Announcement, BackendClient, RunOutcome, StartGate, TaskBody};
 use masticcross_basics::{AttemptId, JobKey, Name};
 use masticcross_wire::Json;
 use tokio::time::sleep;
@@ -22,10 +22,18 @@
 }
 
 impl BackendClient for MemoryBackend {
-    fn run(&self, _backend: Announcement, task: TaskBody) -> BoxFuture<'static, RunOutcome> {
+    fn run(
+        &self,
+        _backend: Announcement,
+        task: TaskBody,
+        gate: StartGate,
+    ) -> BoxFuture<'static, RunOutcome> {
         if self.dead.load(Ordering::Relaxed) {
             return Box::pin(std::future::pending());
         }
+        if let Err(reason) = gate.pass() {
+            return Box::pin(async move { RunOutcome::Refused(reason) });
+        }
         let key = JobKey {
             service: task.service.clone(),
             job: task.job.clone(),
