Serve the agent's ports with the shared HTTP server

Cause: the agent had its own loop, body reader and problem documents. Change: masticcross-http carries both ports, with its limits and a stop that cuts no request; the demo keeps the port and closes it. Conclusion: one HTTP server loop in all processes.

--- a/crates/masticcross-agent/src/http/backends.rs
+++ b/crates/masticcross-agent/src/http/backends.rs
@@ -9,10 +9,10 @@
 use gotham::prelude::*;
 use gotham::state::State;
 use http::{Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
 use masticcross_basics::Code;
+use masticcross_http::{Problem, read_body, read_json};
 use serde::{Deserialize, Serialize};
-use tokio::time::{Instant, timeout};
+use tokio::time::Instant;
 
 use super::{AgentHandle, answer};
 use crate::Announcement;
@@ -77,7 +77,7 @@
                 agent.announce(announcement);
                 create_empty_response(&state, StatusCode::NO_CONTENT)
             }
-            Err((code, detail)) => answer::problem(&state, code, &detail),
+            Err(problem) => problem.to_response(),
         };
         Ok((state, resp))
     })
@@ -91,27 +91,18 @@
         create_empty_response(&state, StatusCode::NO_CONTENT)
     } else {
         let detail = format!("no backend server {name:?} is announced here");
-        answer::problem(&state, Code::NoSuchResource, &detail)
+        Problem::new(Code::NoSuchResource, true, detail).to_response()
     };
     (state, resp)
 }
 
-type Result<T> = std::result::Result<T, (Code, String)>;
+type Result<T> = std::result::Result<T, Problem>;
 
 async fn read(name: &str, body: Body) -> Result<Announcement> {
-    let collected = timeout(BODY_TIMEOUT, Limited::new(body, MAX_BODY_BYTES).collect()).await;
-    let collected = collected.map_err(|_| timed_out())?.map_err(|error| {
-        let detail = format!("body is over {MAX_BODY_BYTES} bytes or broke off: {error}");
-        (Code::BodyTooLarge, detail)
-    })?;
-    let body: AnnouncementBody = serde_json::from_slice(&collected.to_bytes())
-        .map_err(|error| (Code::MalformedBody, error.to_string()))?;
-    Announcement::check(name, &body).map_err(|error| (Code::InvalidField, error.to_string()))
-}
-
-fn timed_out() -> (Code, String) {
-    let detail = format!("body did not arrive within {} s", BODY_TIMEOUT.as_secs());
-    (Code::BodyTimeout, detail)
+    let bytes = read_body(body, MAX_BODY_BYTES, BODY_TIMEOUT).await?;
+    let body: AnnouncementBody = read_json(&bytes)?;
+    Announcement::check(name, &body)
+        .map_err(|error| Problem::new(Code::InvalidField, true, error.to_string()))
 }
 
 fn millis(duration: Duration) -> u64 {
--- a/crates/masticcross-agent/src/http/mod.rs
+++ b/crates/masticcross-agent/src/http/mod.rs
@@ -4,8 +4,6 @@
 mod backends;
 mod operators;
 
-use std::convert::Infallible;
-use std::future::{Ready, ready};
 use std::panic::RefUnwindSafe;
 use std::sync::Arc;
 
@@ -14,34 +12,45 @@
 use gotham::prelude::*;
 use gotham::router::Router;
 use gotham::router::builder::build_router;
-use tokio::net::{TcpListener, TcpStream};
+use masticcross_http::HttpLimits;
+pub use masticcross_http::HttpServer;
+use tokio::net::TcpListener;
 
 use crate::Agent;
 
+/// Connections at once to each port.
+const MAX_CONNECTIONS: usize = 64;
+
 /// The agent, as requests find it.
 #[derive(Clone, StateData)]
 struct AgentHandle(Arc<Agent>);
 
 impl RefUnwindSafe for AgentHandle {}
 
+/// Result of the start of a port.
+pub type Result<T> = std::io::Result<T>;
+
 /// Serves the port for backend servers.
-pub async fn serve_backends(listener: TcpListener, agent: Arc<Agent>) -> Infallible {
-    serve(listener, backends_router(agent)).await
+///
+/// # Errors
+/// Fails if the listener has no address.
+pub fn serve_backends(listener: TcpListener, agent: Arc<Agent>) -> Result<HttpServer> {
+    HttpServer::start(listener, backends_router(agent), limits())
 }
 
 /// Serves the port for operators.
-pub async fn serve_operators(listener: TcpListener, agent: Arc<Agent>) -> Infallible {
-    serve(listener, operators_router(agent)).await
-}
-
-async fn serve(listener: TcpListener, router: Router) -> Infallible {
-    gotham::bind_server(listener, router, accept).await
+///
+/// # Errors
+/// Fails if the listener has no address.
+pub fn serve_operators(listener: TcpListener, agent: Arc<Agent>) -> Result<HttpServer> {
+    HttpServer::start(listener, operators_router(agent), limits())
 }
 
-fn accept(stream: TcpStream) -> Ready<Result<TcpStream, ()>> {
-    // Without it answers are only slower.
-    let _ = stream.set_nodelay(true);
-    ready(Ok(stream))
+fn limits() -> HttpLimits {
+    HttpLimits {
+        max_connections: MAX_CONNECTIONS,
+        ..HttpLimits::default()
+    }
 }
 
 fn backends_router(agent: Arc<Agent>) -> Router {
--- a/crates/masticcross-agent/src/program.rs
+++ b/crates/masticcross-agent/src/program.rs
@@ -1,6 +1,7 @@
 //! The program: listeners, signals and the order of the stop.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use eyre::WrapErr;
 use masticcross_basics::logging;
@@ -15,6 +16,9 @@
 /// Events kept by the time line.
 const TIMELINE_EVENTS: usize = 10_000;
 
+/// Longest wait for requests in progress on the two HTTP ports at the end.
+const HTTP_CLOSE_LIMIT: Duration = Duration::from_secs(1);
+
 /// Result of the program.
 pub type Result<T> = eyre::Result<T>;
 
@@ -39,8 +43,8 @@
         "agent started"
     );
     let servers = [
-        tokio::spawn(http::serve_backends(backends, agent.clone())),
-        tokio::spawn(http::serve_operators(ops, agent.clone())),
+        http::serve_backends(backends, agent.clone())?,
+        http::serve_operators(ops, agent.clone())?,
     ];
     let running = tokio::spawn(agent.clone().run());
     wait_for_stop().await?;
@@ -48,7 +52,7 @@
     agent.close().await;
     running.await?;
     for server in servers {
-        server.abort();
+        server.close(HTTP_CLOSE_LIMIT).await;
     }
     log::info!("agent stopped");
     Ok(())
--- a/src/demo/cluster.rs
+++ b/src/demo/cluster.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use eyre::{Result, WrapErr, bail, eyre};
+use masticcross_agent::http::HttpServer;
 use masticcross_agent::{Agent, HyperBackendClient};
 use masticcross_basics::Name;
 use masticcross_basics::logging::LogFormat;
@@ -64,6 +65,7 @@
 /// A worker of the demo: its agent and its backend server.
 pub struct Worker {
     agent: Arc<Agent>,
+    port: HttpServer,
     backend: Backend,
 }
 
@@ -71,6 +73,7 @@
     async fn close(self) {
         self.backend.close(BACKEND_GRACE).await;
         self.agent.close().await;
+        self.port.close(BACKEND_GRACE).await;
     }
 }
 
@@ -261,10 +264,7 @@
         Arc::new(HyperBackendClient::new()),
         Timeline::new(worker, TIMELINE_EVENTS),
     )?;
-    tokio::spawn(masticcross_agent::http::serve_backends(
-        listener,
-        agent.clone(),
-    ));
+    let port = masticcross_agent::http::serve_backends(listener, agent.clone())?;
     tokio::spawn(agent.clone().run());
     let backend = Backend::start(BackendSettings {
         agent: Some(agent_addr.to_string()),
@@ -272,7 +272,11 @@
         ..BackendSettings::new(&name, service)
     })
     .await?;
-    Ok(Worker { agent, backend })
+    Ok(Worker {
+        agent,
+        port,
+        backend,
+    })
 }
 
 /// Runs something on a thread without a runtime, which may then start runtimes of its own.
