--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -23,8 +23,6 @@
     Drain(publish::ZoneArgs),
     /// Bring an availability zone back into service.
     Restore(publish::ZoneArgs),
-    /// Send jobs and report what callers see.
-    Load(load::Args),
 }
 
 impl Command {
@@ -40,7 +38,6 @@
             Self::Publish(args) => publish::execute(&args),
             Self::Drain(args) => publish::execute_zone(&args, false),
             Self::Restore(args) => publish::execute_zone(&args, true),
-            Self::Load(args) => load::execute(args),
         }
     }
 }
