--- a/crates/masticcross-entry/src/peers/membership.rs
+++ b/crates/masticcross-entry/src/peers/membership.rs
@@ -26,6 +26,10 @@
 /// Most doublings of the patience with a member that came back after it was found lost.
 const MAX_DOUBLINGS: u32 = 5;
 
+/// Time after which an entry that was found lost joins again although it hears no other member. It
+/// doubles each time.
+const REJOIN_AFTER: Duration = Duration::from_secs(30);
+
 /// One start of a member.
 type MemberStart = (Name, Incarnation);
 
@@ -41,6 +45,8 @@
     pub(super) silences: &'a BTreeMap<Name, Silence>,
     /// Members that shut down.
     pub(super) draining: &'a BTreeSet<Name>,
+    /// True if this entry may join: it never was a member, or it is in touch with the others again.
+    pub(super) may_join: bool,
     /// True if this entry has been a member for long enough to claim.
     pub(super) may_claim: bool,
 }
@@ -60,7 +66,8 @@
         Some(current) if current.incarnation == me.incarnation => {}
         _ => {
             let member = Member::clone(me);
-            return vec![PartitionsChange::Join { member }];
+            let join = PartitionsChange::Join { member };
+            return Vec::from_iter(situation.may_join.then_some(join));
         }
     }
     let mut changes = lost_members(situation);
@@ -69,14 +76,23 @@
 }
 
 /// Lists the members to be recorded as left. Live entries with lower names come first; the others
-/// wait, so that usually one entry appends.
+/// wait, so that usually one entry appends. An entry that hears less than half of the others waits
+/// longer: rather it is the one that is cut off, and the others find it lost first.
 fn lost_members(situation: &Situation<'_>) -> Vec<PartitionsChange> {
-    let Situation { me, silences, .. } = situation;
-    let live_before = silences
-        .range::<Name, _>(..&me.name)
-        .filter(|(_, silence)| silence.lasts <= silence.patience)
-        .count();
-    let turn = situation.times.heartbeat() * u32::try_from(live_before).unwrap_or(u32::MAX);
+    let Situation {
+        me,
+        silences,
+        times,
+        ..
+    } = situation;
+    let is_live = |silence: &Silence| silence.lasts <= silence.patience;
+    let live_before = silences.range::<Name, _>(..&me.name);
+    let live_before = live_before.filter(|(_, silence)| is_live(silence)).count();
+    let mut turn = times.heartbeat() * u32::try_from(live_before).unwrap_or(u32::MAX);
+    let live = silences.values().filter(|s| is_live(s)).count();
+    if live * 2 < silences.len() {
+        turn += times.suspect_after();
+    }
     let is_lost = |silence: &Silence| silence.lasts > silence.patience + turn;
     situation
         .state
@@ -139,6 +155,8 @@
     me: Member,
     members: BTreeMap<Name, Member>,
     member_since: Option<Instant>,
+    removed_at: Option<Instant>,
+    removals: u32,
     looked_at: Instant,
     found_lost: BTreeSet<MemberStart>,
     came_back: BTreeMap<MemberStart, u32>,
@@ -159,6 +177,8 @@
             me: peers.identity.member(),
             members: BTreeMap::new(),
             member_since: None,
+            removed_at: None,
+            removals: 0,
             looked_at: Instant::now(),
             found_lost: BTreeSet::new(),
             came_back: BTreeMap::new(),
@@ -185,6 +205,7 @@
             times: &times,
             silences: &silences,
             draining: &draining,
+            may_join: self.may_join(&silences, &times),
             may_claim: self.may_claim(),
         };
         for change in decide(&situation) {
@@ -200,6 +221,19 @@
         self.looked_at = Instant::now();
     }
 
+    /// Returns true if this entry never was found lost, or hears another member again, or has waited
+    /// for long. Otherwise it would go in and out while it is cut off from the others.
+    fn may_join(&self, silences: &BTreeMap<Name, Silence>, times: &Times) -> bool {
+        let Some(removed_at) = self.removed_at else {
+            return true;
+        };
+        let hears = |silence: &Silence| silence.lasts <= times.suspect_after();
+        let doublings = self.removals.saturating_sub(1).min(MAX_DOUBLINGS);
+        silences.is_empty()
+            || silences.values().any(hears)
+            || removed_at.elapsed() >= REJOIN_AFTER * (1 << doublings)
+    }
+
     fn may_claim(&self) -> bool {
         self.member_since
             .is_some_and(|s| s.elapsed() >= CLAIM_DELAY)
@@ -226,6 +260,10 @@
             .liveness
             .retain(|name| state.members.contains_key(name));
         let joined = is_in(&self.members, &self.me);
+        if self.member_since.is_some() && !joined {
+            self.removed_at = Some(Instant::now());
+            self.removals += 1;
+        }
         self.member_since = joined.then(|| self.member_since.unwrap_or_else(Instant::now));
     }
 
--- a/crates/masticcross-entry/src/peers/mod.rs
+++ b/crates/masticcross-entry/src/peers/mod.rs
@@ -6,6 +6,7 @@
 //! - `liveness`: which members and agents are heard.
 //! - `membership`: joins, finds lost members, and claims partitions.
 //! - `agents`: registers agents in the log.
+//! - `rebalance`: planned moves of partitions.
 
 mod agents;
 mod inbound;
@@ -13,6 +14,7 @@
 mod membership;
 mod outbound;
 mod preference;
+pub mod rebalance;
 mod requests;
 
 use std::collections::BTreeMap;
@@ -241,6 +243,10 @@
         self.liveness.is_draining(&member.name, member.incarnation)
     }
 
+    fn is_shutting_down(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+
     fn is_closed(&self) -> bool {
         self.closed.load(Ordering::Acquire)
     }
