--- a/crates/masticcross-entry/src/entry.rs
+++ b/crates/masticcross-entry/src/entry.rs
@@ -24,7 +24,7 @@
 use crate::http::operators::Operators;
 use crate::identity::Identity;
 use crate::owner::Owner;
-use crate::peers::{Peers, rebalance};
+use crate::peers::Peers;
 use crate::router::Router;
 use crate::settings::Settings;
 
@@ -122,8 +122,8 @@
         tasks.spawn(agreement.run());
         tasks.spawn(admissions.run());
         tasks.spawn(owner.clone().run());
+        tasks.spawn(owner.clone().keep_balanced(peers.clone()));
         tasks.spawn(peers.clone().run());
-        tasks.spawn(rebalance::rebalance(peers.clone(), owner.clone()));
         tasks.spawn(ws::serve(peers_listener, secret, link_tx));
         tasks.spawn(sessions.accept(link_rx));
         log::info!(
@@ -172,8 +172,6 @@
     pub async fn close(mut self) {
         self.draining.store(true, Ordering::Relaxed);
         self.peers.drain();
-        let moved = rebalance::hand_over_all(&self.peers, &self.owner);
-        let _ = timeout(self.drain_limit, moved).await;
         let closed = timeout(self.drain_limit, self.owner.close(&self.peers));
         if closed.await.is_err() {
             log::warn!(entry:% = self.identity.name; "partitions left at the end of the drain limit");
--- a/crates/masticcross-entry/src/peers/mod.rs
+++ b/crates/masticcross-entry/src/peers/mod.rs
@@ -6,7 +6,6 @@
 //! - `liveness`: which members and agents are heard.
 //! - `membership`: joins, finds lost members, and claims partitions.
 //! - `agents`: registers agents in the log.
-//! - `rebalance`: planned moves of partitions.
 
 mod agents;
 mod inbound;
@@ -14,7 +13,6 @@
 mod membership;
 mod outbound;
 mod preference;
-pub mod rebalance;
 mod requests;
 
 use std::collections::BTreeMap;
@@ -158,12 +156,18 @@
     }
 
     /// Returns the member that should own a partition: the choice of rendezvous hashing among the
-    /// members that do not shut down.
+    /// members that do not shut down. Returns nothing if it is another one without a session, or
+    /// while this entry shuts down.
     #[must_use]
     pub fn preferred(&self, partition: Partition) -> Option<Member> {
+        if self.draining.load(Ordering::Acquire) {
+            return None;
+        }
         let state = self.agreement.state();
         let candidates = state.members.values().filter(|m| !self.is_draining(m));
-        preference::choose(partition, candidates).cloned()
+        let preferred = preference::choose(partition, candidates)?;
+        let is_me = preferred.name == self.identity.name;
+        (is_me || self.session_to(preferred).is_ok()).then(|| preferred.clone())
     }
 
     /// Returns the member to which this entry should hand a partition over when it stops: the
@@ -243,10 +247,6 @@
         self.liveness.is_draining(&member.name, member.incarnation)
     }
 
-    fn is_shutting_down(&self) -> bool {
-        self.draining.load(Ordering::Acquire)
-    }
-
     fn is_closed(&self) -> bool {
         self.closed.load(Ordering::Acquire)
     }
