Test the router and the sessions between entries

Change: scripted entries around one real entry: sending again after a lost session, after NotOwner and past a silent owner; crossed and late replies; frames of older sessions and starts; requests older than their deadline; agents that are heard elsewhere.

--- /dev/null
+++ b/crates/masticcross-entry/tests/scripted/mod.rs
@@ -0,0 +1,351 @@
+//! One real entry, and other entries whose frames the test writes itself.
+
+#![allow(dead_code, reason = "each test program uses a part")]
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::future::BoxFuture;
+use masticcross_basics::timeline::{Stamp, Timeline};
+use masticcross_basics::{Epoch, JobKey, Name, Partition};
+use masticcross_config::samples;
+use masticcross_entry::Identity;
+use masticcross_entry::admission::Admissions;
+use masticcross_entry::dispatch::Dispatch;
+use masticcross_entry::owner::Owner;
+use masticcross_entry::peers::Peers;
+use masticcross_entry::router::Router;
+use masticcross_ledger::{
+    Agreement, LedgerIdentity, PartitionClaim, PartitionsChange, PartitionsRecord, publish,
+};
+use masticcross_log::Log;
+use masticcross_standins::log::{MemoryLog, MemoryLogSettings};
+use masticcross_wire::{
+    AgentStart, BackendInfo, Dialer, Frame, Hello, JobAnswer, JobRequest, Link, LinkError, Member,
+    PROTOCOL_VERSION, Pong, Reply, Role, Submit,
+};
+use parking_lot::Mutex;
+use tokio::sync::mpsc;
+use tokio::time::{sleep, timeout};
+
+pub const ME: &str = "a";
+const PARTITIONS: &str = "partitions/perth";
+const WAIT: Duration = Duration::from_secs(20);
+
+/// What a scripted entry says when asked which agents it hears.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Hearing {
+    All,
+    Nothing,
+    NoAnswer,
+}
+
+/// Gives the links that the real entry dials to the scripted entries.
+#[derive(Clone, Default)]
+struct Switchboard {
+    links: Arc<Mutex<BTreeMap<SocketAddr, mpsc::Sender<Link>>>>,
+}
+
+impl Dialer for Switchboard {
+    fn dial(&self, addr: SocketAddr) -> BoxFuture<'_, Result<Link, LinkError>> {
+        let (near, far) = Link::pair();
+        let links = self.links.lock().get(&addr).cloned();
+        Box::pin(async move {
+            let refused = LinkError::Connect {
+                addr,
+                reason: "nobody listens".to_owned(),
+            };
+            let links = links.ok_or(refused.clone())?;
+            links.send(far).await.map_err(|_| refused)?;
+            Ok(near)
+        })
+    }
+}
+
+/// The real entry and its log.
+pub struct Bench {
+    pub log: MemoryLog,
+    pub identity: Identity,
+    pub agreement: Arc<Agreement>,
+    pub owner: Arc<Owner>,
+    pub peers: Arc<Peers>,
+    pub router: Arc<Router>,
+    dispatch: Arc<Dispatch>,
+    switchboard: Switchboard,
+}
+
+impl Bench {
+    /// Prepares the entry; its view of the log is kept, and nothing else runs.
+    pub async fn new() -> Self {
+        let log = MemoryLog::new(MemoryLogSettings::default());
+        let published = publish(&log, 0, "ann", samples::GUILD).await;
+        published.expect("a configuration");
+        let identity = Identity {
+            name: Name::from(ME),
+            incarnation: 1,
+            region: Name::from("perth"),
+            zone: Name::from("perth-north"),
+            peer_addr: addr_of(ME),
+        };
+        let timeline = Timeline::new(identity.name.clone(), 1000);
+        let ledger_identity = LedgerIdentity {
+            name: identity.name.clone(),
+            incarnation: 1,
+            region: identity.region.clone(),
+        };
+        let shared: Arc<MemoryLog> = Arc::new(log.clone());
+        let agreement = Agreement::new(ledger_identity, shared.clone(), timeline.clone());
+        let admissions = Admissions::new(identity.clone(), shared);
+        let dispatch = Dispatch::new(identity.clone(), agreement.clone(), timeline.clone());
+        let owner = Owner::new(
+            agreement.clone(),
+            admissions.clone(),
+            dispatch.clone(),
+            timeline.clone(),
+        );
+        dispatch.bind(Arc::downgrade(&owner));
+        let switchboard = Switchboard::default();
+        let dialer = Arc::new(switchboard.clone());
+        let peers = Peers::new(identity.clone(), agreement.clone(), dialer, timeline);
+        let router = Router::new(agreement.clone(), owner.clone(), peers.clone());
+        tokio::spawn(agreement.clone().run());
+        tokio::spawn(admissions.run());
+        tokio::spawn(owner.clone().run());
+        sleep(Duration::from_secs(1)).await;
+        Self {
+            log,
+            identity,
+            agreement,
+            owner,
+            peers,
+            router,
+            dispatch,
+            switchboard,
+        }
+    }
+
+    /// Lets the entry join, claim and keep sessions, and waits until it has settled.
+    pub async fn run(&self) {
+        tokio::spawn(self.peers.clone().run());
+        sleep(Duration::from_secs(2)).await;
+    }
+
+    /// Adds an agent whose backend server never gets to start a task, so that jobs wait.
+    pub async fn add_agent(&self) -> Link {
+        let (near, far) = Link::pair();
+        let hello = Hello {
+            role: Role::Agent,
+            ..hello("worker-1")
+        };
+        let dispatch = self.dispatch.clone();
+        self.peers
+            .register_agent(&hello.name, hello.incarnation, &hello.zone);
+        tokio::spawn(async move { dispatch.serve_agent(hello, far).await });
+        let backends = vec![BackendInfo {
+            name: Name::from("backend-1"),
+            service: Name::from("quote-desk"),
+            slots: 8,
+        }];
+        near.tx
+            .send(Frame::Backends(backends))
+            .await
+            .expect("an open session");
+        sleep(Duration::from_millis(500)).await;
+        near
+    }
+
+    /// Adds a scripted entry that is a member.
+    pub async fn add_peer(&self, name: &str, hearing: Hearing) -> Scripted {
+        let (links, accepted) = mpsc::channel(16);
+        self.switchboard.links.lock().insert(addr_of(name), links);
+        let member = member(name);
+        self.append(PartitionsChange::Join { member }).await;
+        let (requests, arrived) = mpsc::channel(64);
+        tokio::spawn(accept(Name::from(name), accepted, requests, hearing));
+        Scripted { arrived }
+    }
+
+    /// Appends a change as another entry would.
+    pub async fn append(&self, change: PartitionsChange) -> u64 {
+        let record = PartitionsRecord::Changes {
+            id: rand::random(),
+            changes: vec![change],
+        };
+        let data = serde_json::to_string(&record).expect("a record");
+        let offset = self.log.append(PARTITIONS, data.into()).await;
+        sleep(Duration::from_millis(20)).await;
+        offset.expect("the log takes it")
+    }
+
+    /// Makes a member the owner of all partitions.
+    pub async fn give_all_to(&self, name: &str) -> Epoch {
+        let state = self.agreement.state();
+        let partitions = Partition::all()
+            .map(|partition| PartitionClaim {
+                partition,
+                previous: state.ownership(partition).epoch,
+            })
+            .collect();
+        let claim = PartitionsChange::Claim {
+            owner: Name::from(name),
+            incarnation: 1,
+            partitions,
+        };
+        Epoch(self.append(claim).await + 1)
+    }
+
+    /// Opens a session to the real entry, as another entry does.
+    pub fn dial(&self, name: &str, incarnation: u64, session: u64) -> Link {
+        self.dial_with(Hello {
+            incarnation,
+            session,
+            ..hello(name)
+        })
+    }
+
+    pub fn dial_with(&self, hello: Hello) -> Link {
+        let (near, far) = Link::pair();
+        let serving = self
+            .peers
+            .clone()
+            .serve_peer(hello, far, self.owner.clone());
+        tokio::spawn(serving);
+        near
+    }
+
+    /// Returns true if the real entry knows a job.
+    pub async fn knows(&self, key: &JobKey) -> bool {
+        let epoch = self.agreement.epoch_if_mine(key.partition());
+        let epoch = epoch.expect("the entry owns the partition");
+        let answer = self.owner.query(epoch, key.clone(), false).await;
+        matches!(answer, JobAnswer::Running(_))
+    }
+}
+
+/// A request that arrived at a scripted entry, and the way back.
+pub struct Arrived {
+    pub submit: Submit,
+    pub tx: mpsc::Sender<Frame>,
+    pub close: mpsc::Sender<()>,
+}
+
+impl Arrived {
+    pub async fn reply(&self, id: u64, answer: JobAnswer) {
+        let stamp = Stamp::default();
+        let reply = Frame::Reply(Reply { id, answer, stamp });
+        let _ = self.tx.send(reply).await;
+    }
+
+    pub async fn answer(&self, answer: JobAnswer) {
+        self.reply(self.submit.id, answer).await;
+    }
+
+    /// Closes the session on which the request came.
+    pub async fn close(&self) {
+        let _ = self.close.send(()).await;
+    }
+}
+
+/// A scripted entry.
+pub struct Scripted {
+    arrived: mpsc::Receiver<Arrived>,
+}
+
+impl Scripted {
+    pub async fn next(&mut self) -> Arrived {
+        let next = timeout(WAIT, self.arrived.recv()).await;
+        next.expect("a request in time").expect("a request")
+    }
+
+    pub fn is_idle(&self) -> bool {
+        self.arrived.is_empty()
+    }
+}
+
+async fn accept(
+    name: Name,
+    mut links: mpsc::Receiver<Link>,
+    requests: mpsc::Sender<Arrived>,
+    hearing: Hearing,
+) {
+    while let Some(link) = links.recv().await {
+        tokio::spawn(serve(name.clone(), link, requests.clone(), hearing));
+    }
+}
+
+async fn serve(name: Name, link: Link, requests: mpsc::Sender<Arrived>, hearing: Hearing) {
+    let Link { tx, mut rx } = link;
+    let (close, mut closed) = mpsc::channel(1);
+    loop {
+        let frame = tokio::select! {
+            biased;
+            _ = closed.recv() => return,
+            frame = rx.recv() => frame,
+        };
+        let answer = match frame {
+            Some(Frame::Hello(_)) => Frame::Hello(hello(&name)),
+            Some(Frame::Ping(ping)) => Frame::Pong(Pong {
+                nonce: ping.nonce,
+                age_ms: None,
+                view: None,
+                stamp: Stamp::default(),
+            }),
+            Some(Frame::WhoHears(asked)) if hearing != Hearing::NoAnswer => Frame::Heard {
+                heard: heard(&asked, hearing),
+                asked,
+            },
+            Some(Frame::Submit(submit)) => {
+                let (tx, close) = (tx.clone(), close.clone());
+                let _ = requests.send(Arrived { submit, tx, close }).await;
+                continue;
+            }
+            Some(_) => continue,
+            None => return,
+        };
+        let _ = tx.send(answer).await;
+    }
+}
+
+fn heard(asked: &[AgentStart], hearing: Hearing) -> Vec<AgentStart> {
+    match hearing {
+        Hearing::All => asked.to_vec(),
+        Hearing::Nothing | Hearing::NoAnswer => Vec::new(),
+    }
+}
+
+pub fn hello(name: &str) -> Hello {
+    Hello {
+        protocol: PROTOCOL_VERSION,
+        role: Role::Entry,
+        name: Name::from(name),
+        incarnation: 1,
+        zone: Name::from("perth-north"),
+        session: 1,
+    }
+}
+
+pub fn member(name: &str) -> Member {
+    Member {
+        name: Name::from(name),
+        incarnation: 1,
+        addr: addr_of(name),
+        zone: Name::from("perth-north"),
+    }
+}
+
+fn addr_of(name: &str) -> SocketAddr {
+    let number = u16::from(name.as_bytes()[0]);
+    SocketAddr::from(([127, 0, 0, 1], 7000 + number))
+}
+
+pub fn request(job: &str, deadline_ms: u32) -> JobRequest {
+    JobRequest {
+        key: JobKey::new("quote-desk", job).expect("valid names"),
+        team: Name::from("desk"),
+        repeatable: true,
+        deadline_ms,
+        tasks: vec!["{}".into()],
+    }
+}
