Tie waiting tasks at an agent to its registration in the log

Cause: an agent that is cut off from the owner of a task keeps a fresh view through other entries.

Change: the view names the record that registered the agent. A task that waited under an earlier registration never starts. An owner may take a loss as proven once the registration has ended and the fence has passed.

--- a/crates/masticcross-agent/src/core/mod.rs
+++ b/crates/masticcross-agent/src/core/mod.rs
@@ -25,7 +25,7 @@
 
 use masticcross_basics::timeline::{Event, EventKind, Timeline};
 use masticcross_basics::{AttemptId, Epoch, Name, Partition};
-use masticcross_wire::{AgentView, Credit, Demand, Frame};
+use masticcross_wire::{AgentView, Credit, Demand, Frame, NotStartedReason};
 use parking_lot::Mutex;
 use tokio::time::Instant;
 
@@ -195,6 +195,11 @@
         }
         let mut state = self.state.lock();
         self.note_freshness(&mut state, now);
+        let registered_before = change.before.as_ref().map_or(0, |v| v.registered_at);
+        if registered_before != change.after.registered_at {
+            // Entries may have counted this agent as lost in between.
+            self.refuse_all_queued(&mut state, NotStartedReason::ViewStale, now);
+        }
         self.resend_after(&mut state, &change);
     }
 
@@ -261,7 +266,7 @@
         }
         state.draining = true;
         self.sessions.send_to_all(&Frame::Drain);
-        self.refuse_all_queued(&mut state, now);
+        self.refuse_all_queued(&mut state, NotStartedReason::ShuttingDown, now);
     }
 
     /// Returns figures of the present moment.
--- a/crates/masticcross-agent/src/core/queue.rs
+++ b/crates/masticcross-agent/src/core/queue.rs
@@ -23,6 +23,8 @@
     pub payload: Json,
     /// It is not started after that.
     pub deadline: Instant,
+    /// Registration of the agent when the task arrived; it does not start under a later one.
+    pub registered_at: u64,
 }
 
 /// Queues by service.
--- a/crates/masticcross-agent/src/core/starts.rs
+++ b/crates/masticcross-agent/src/core/starts.rs
@@ -160,6 +160,7 @@
             id: task.attempt,
             payload: task.payload.clone(),
             deadline,
+            registered_at: self.view.registered_at(),
         };
         state.attempts.insert(new, now);
         match self.admit(state, &known, &queued, now) {
@@ -204,6 +205,9 @@
         if now >= task.deadline {
             return Err(NotStartedReason::DeadlinePassed);
         }
+        if task.registered_at != self.view.registered_at() {
+            return Err(NotStartedReason::ViewStale);
+        }
         if task.epoch < state.fence(task.partition) {
             return Err(NotStartedReason::OldEpoch);
         }
@@ -287,9 +291,14 @@
         }
     }
 
-    pub(super) fn refuse_all_queued(&self, state: &mut State, now: Instant) {
+    pub(super) fn refuse_all_queued(
+        &self,
+        state: &mut State,
+        reason: NotStartedReason,
+        now: Instant,
+    ) {
         let tasks = state.queue.take(|_| true);
-        self.refuse(state, &tasks, NotStartedReason::ShuttingDown, now);
+        self.refuse(state, &tasks, reason, now);
     }
 
     pub(super) fn refuse_overdue(&self, state: &mut State, now: Instant) {
--- a/crates/masticcross-agent/src/core/view.rs
+++ b/crates/masticcross-agent/src/core/view.rs
@@ -62,6 +62,13 @@
             .map_or_else(ViewVersion::default, |v| v.version)
     }
 
+    /// Returns the offset after the record that registered this agent; zero if none did.
+    #[must_use]
+    pub fn registered_at(&self) -> u64 {
+        let inner = self.inner.read();
+        inner.view.as_ref().map_or(0, |view| view.registered_at)
+    }
+
     /// Returns how long ago the view held all records of the log; none if it never did.
     #[must_use]
     pub fn age(&self, now: Instant) -> Option<Duration> {
@@ -141,6 +148,7 @@
         joined.members = offered.members;
         joined.partitions = offered.partitions;
         joined.registered = offered.registered;
+        joined.registered_at = offered.registered_at;
     }
     joined
 }
--- a/crates/masticcross-agent/tests/support/mod.rs
+++ b/crates/masticcross-agent/tests/support/mod.rs
@@ -230,6 +230,7 @@
         members: vec![member],
         partitions: vec![owner; usize::from(PARTITIONS)],
         registered: true,
+        registered_at: 1,
     }
 }
 
--- a/crates/masticcross-entry/tests/support/cluster.rs
+++ b/crates/masticcross-entry/tests/support/cluster.rs
@@ -185,6 +185,13 @@
         answer
     }
 
+    /// Returns the entry that owns the partition of a job.
+    pub fn owner_of(&self, key: &JobKey) -> usize {
+        let owns = |node: &EntryNode| node.agreement.epoch_if_mine(key.partition()).is_some();
+        let found = self.entries.iter().find(|(_, node)| owns(node));
+        *found.expect("the partition has an owner").0
+    }
+
     /// Waits until every caller has its answer.
     pub async fn callers_done(&mut self) {
         for (_, caller) in self.callers.drain(..) {
--- a/crates/masticcross-entry/tests/whole.rs
+++ b/crates/masticcross-entry/tests/whole.rs
@@ -260,3 +260,26 @@
     let counts = cluster.observer.counts();
     assert_eq!((counts.complete, counts.reruns), (100, 0), "{counts:?}");
 }
+
+/// The agent hears of the log from other entries, so its view stays fresh while it is cut off from
+/// the owner that sent it a task.
+#[tokio::test(start_paused = true)]
+async fn a_task_that_waits_at_an_agent_cut_off_from_its_owner_never_starts_late() {
+    let mut cluster = Cluster::start(3, 1, EntrySettings::default()).await;
+    cluster.ready().await;
+    cluster.submit(0, request("fill", &[9_000; 5], 29_000, true));
+    sleep(Duration::from_millis(300)).await;
+    cluster.start_agent(1);
+    let owner = cluster.owner_of(&request("fill", &[], 1, true).key);
+    let owner = cluster.entries[&owner].process.clone();
+    let agent = cluster.agents[&0].process.clone();
+    cluster.observer.disturbed(&cluster.agents[&0].worker);
+    cluster.net.cut(&owner, &agent);
+    cluster.net.cut(&agent, &owner);
+    sleep(Duration::from_secs(15)).await;
+    cluster.net.heal();
+    cluster.callers_done().await;
+    println!("{}", cluster.observer.timeline());
+    cluster.observer.assert_kept("cut off from the owner");
+    assert_eq!(cluster.observer.counts().complete, 1);
+}
--- a/crates/masticcross-ledger/src/state.rs
+++ b/crates/masticcross-ledger/src/state.rs
@@ -56,6 +56,9 @@
 pub struct AgentEntry {
     /// The agent's start.
     pub incarnation: Incarnation,
+    /// Offset after the record that registered it.
+    #[serde(default)]
+    pub registered_at: u64,
     /// The worker's availability zone.
     pub zone: Name,
 }
@@ -260,6 +263,7 @@
             }
             let agent = AgentEntry {
                 incarnation,
+                registered_at: offset + 1,
                 zone: zone.clone(),
             };
             self.agents.insert(worker.clone(), agent);
@@ -281,6 +285,13 @@
         }
     }
 
+    /// Returns the offset after the record that registered an agent; none if it is not registered.
+    #[must_use]
+    pub fn registered_at(&self, worker: &Name, incarnation: Incarnation) -> Option<u64> {
+        let entry = self.agents.get(worker)?;
+        (entry.incarnation == incarnation).then_some(entry.registered_at)
+    }
+
     /// Returns the part that an agent needs.
     #[must_use]
     pub fn agent_view(&self, worker: &Name, incarnation: Incarnation) -> AgentView {
@@ -292,6 +303,7 @@
             })
             .collect();
         let document = self.config.document.as_ref();
+        let registered_at = self.registered_at(worker, incarnation);
         AgentView {
             version: self.version,
             config_version: self.config.version,
@@ -299,10 +311,8 @@
             freshness_ms: document.map_or(0, |d| d.times.freshness_ms),
             members,
             partitions,
-            registered: self
-                .agents
-                .get(worker)
-                .is_some_and(|a| a.incarnation == incarnation),
+            registered: registered_at.is_some(),
+            registered_at: registered_at.unwrap_or_default(),
         }
     }
 
--- a/crates/masticcross-wire/src/view.rs
+++ b/crates/masticcross-wire/src/view.rs
@@ -57,4 +57,8 @@
     pub partitions: Vec<PartitionOwner>,
     /// True if the agent's incarnation is registered in the log, so that it may start tasks.
     pub registered: bool,
+    /// Offset after the record that registered the agent; zero if it is not registered. With a new
+    /// registration, tasks that waited under an earlier one never start.
+    #[serde(default)]
+    pub registered_at: u64,
 }
