--- a/crates/masticcross-entry/src/peers/mod.rs
+++ b/crates/masticcross-entry/src/peers/mod.rs
@@ -156,12 +156,18 @@
     }
 
     /// Returns the member that should own a partition: the choice of rendezvous hashing among the
-    /// members that do not shut down.
+    /// members that do not shut down. Returns nothing if it is another one without a session, or
+    /// while this entry shuts down.
     #[must_use]
     pub fn preferred(&self, partition: Partition) -> Option<Member> {
+        if self.draining.load(Ordering::Acquire) {
+            return None;
+        }
         let state = self.agreement.state();
         let candidates = state.members.values().filter(|m| !self.is_draining(m));
-        preference::choose(partition, candidates).cloned()
+        let preferred = preference::choose(partition, candidates)?;
+        let is_me = preferred.name == self.identity.name;
+        (is_me || self.session_to(preferred).is_ok()).then(|| preferred.clone())
     }
 
     /// Returns the member to which this entry should hand a partition over when it stops: the
