--- /dev/null
+++ b/crates/masticcross-entry/tests/schedules.rs
@@ -0,0 +1,80 @@
+//! Schedules of faults, two at a time and the same one twice, each with the same verdict every time.
+
+mod support;
+
+use support::node::EntrySettings;
+use support::observer::Counts;
+use support::schedule::{Schedule, run};
+
+/// Schedules without `MASTICCROSS_SCHEDULES`.
+const SCHEDULES: u64 = 1_000;
+
+/// Seed from which the first schedule comes.
+const FIRST_SEED: u64 = 1;
+
+fn on_paused_clock<T>(run: impl Future<Output = T>) -> T {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .expect("a runtime")
+        .block_on(run)
+}
+
+/// What a schedule came to.
+fn outcome(schedule: &Schedule, settings: &EntrySettings) -> Result<Counts, String> {
+    let (broken, counts, timeline) = on_paused_clock(run(schedule, settings.clone()));
+    if broken.is_empty() {
+        return Ok(counts);
+    }
+    Err(format!("{schedule:?}\n{}\n{timeline}", broken.join("\n")))
+}
+
+fn count() -> u64 {
+    let wanted = std::env::var("MASTICCROSS_SCHEDULES");
+    wanted
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(SCHEDULES)
+}
+
+/// Runs the schedules of all seeds, on half of the processors.
+fn run_all(
+    seeds: std::ops::Range<u64>,
+    settings: &EntrySettings,
+) -> Vec<(u64, Result<Counts, String>)> {
+    let threads = std::thread::available_parallelism().map_or(1, |n| (n.get() / 2).max(1));
+    std::thread::scope(|scope| {
+        let workers: Vec<_> = (0..threads)
+            .map(|thread| {
+                let own = seeds.clone().skip(thread).step_by(threads);
+                let run = |seed| (seed, outcome(&Schedule::of_seed(seed), settings));
+                scope.spawn(move || own.map(run).collect::<Vec<_>>())
+            })
+            .collect();
+        let results = workers.into_iter().map(|w| w.join().expect("no panic"));
+        results.flatten().collect()
+    })
+}
+
+#[test]
+fn promises_are_kept_under_every_schedule() {
+    let count = count();
+    let results = run_all(FIRST_SEED..FIRST_SEED + count, &EntrySettings::default());
+    let failures: Vec<_> = results
+        .iter()
+        .filter_map(|(seed, result)| result.as_ref().err().map(|text| (seed, text)))
+        .collect();
+    let total = results
+        .iter()
+        .filter_map(|(_, result)| result.as_ref().ok())
+        .fold(Counts::default(), |sum, counts| sum + *counts);
+    println!("{count} schedules, {} failed; {total:?}", failures.len());
+    let seeds: Vec<_> = failures.iter().map(|(seed, _)| seed).collect();
+    assert!(
+        failures.is_empty(),
+        "{} of {count} schedules failed, seeds {seeds:?}; the first:\n{}",
+        failures.len(),
+        failures[0].1
+    );
+}
--- a/crates/masticcross-entry/tests/support/cluster.rs
+++ b/crates/masticcross-entry/tests/support/cluster.rs
@@ -200,6 +200,53 @@
         }
     }
 
+    /// Starts an entry again if it does not run.
+    pub fn restart_entry(&mut self, index: usize) {
+        if !self.entries.contains_key(&index) {
+            self.start_entry(index);
+        }
+    }
+
+    /// Starts an agent again if it does not run.
+    pub fn restart_agent(&mut self, index: usize) {
+        if !self.agents.contains_key(&index) {
+            self.start_agent(index);
+        }
+    }
+
+    /// Changes the network between an entry and an agent that both run.
+    pub fn with_pair(&self, entry: usize, agent: usize, change: impl Fn(&Net, &Name, &Name)) {
+        if let (Some(entry), Some(agent)) = (self.entries.get(&entry), self.agents.get(&agent)) {
+            change(&self.net, &entry.process, &agent.process);
+        }
+    }
+
+    /// Changes the network between two entries that both run.
+    pub fn with_entries(&self, one: usize, other: usize, change: impl Fn(&Net, &Name, &Name)) {
+        if let (Some(one), Some(other)) = (self.entries.get(&one), self.entries.get(&other)) {
+            change(&self.net, &one.process, &other.process);
+        }
+    }
+
+    /// Tells the observer of a fault after which a worker may be taken for lost.
+    pub fn disturb(&self, agent: usize) {
+        if let Some(node) = self.agents.get(&agent) {
+            self.observer.disturbed(&node.worker);
+        }
+    }
+
+    /// Cuts an entry off from the log, or ends that.
+    pub fn cut_off_log(&self, entry: usize, cut: bool) {
+        if let Some(node) = self.entries.get(&entry) {
+            self.log.faults().cut_off(&node.process, cut);
+        }
+    }
+
+    /// Takes a zone out of service. Returns true if that was accepted.
+    pub async fn take_out(&mut self, zone: usize) -> bool {
+        self.publish_zones_out(&[ZONES[zone]]).await
+    }
+
     /// Publishes a document with some zones out of service. Returns true if it was accepted.
     pub async fn publish_zones_out(&mut self, out: &[&str]) -> bool {
         let log = self.log.client("operator");
--- a/crates/masticcross-entry/tests/support/observer.rs
+++ b/crates/masticcross-entry/tests/support/observer.rs
@@ -56,6 +56,21 @@
     pub lost: usize,
 }
 
+impl std::ops::Add for Counts {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self {
+            starts: self.starts + other.starts,
+            reruns: self.reruns + other.reruns,
+            complete: self.complete + other.complete,
+            not_run: self.not_run + other.not_run,
+            failed: self.failed + other.failed,
+            lost: self.lost + other.lost,
+        }
+    }
+}
+
 #[derive(Default)]
 struct Inner {
     starts: BTreeMap<(JobKey, TaskIndex), Vec<Start>>,
