Order jobs by aged work, check deadlines by size; experiments in virtual time

Change: jobs are ordered by arrival moved back by the geometric mean of remaining and whole work; the check expects the wait from the team's share and the smaller jobs that arrive meanwhile; a model of workers in virtual time runs the real shard.

--- a/crates/masticcross-entry/src/dispatch/limits.rs
+++ b/crates/masticcross-entry/src/dispatch/limits.rs
@@ -8,10 +8,14 @@
 
 use super::Result;
 use super::shard::Shard;
+use super::sizes::class_of;
 
 /// Allowance for the error of the expected time.
 const SAFETY: f64 = 1.2;
 
+/// Least share of the rate that is left for large jobs.
+const MIN_RATE_LEFT: f64 = 0.02;
+
 /// Wait named in a refusal when nothing was observed that it could follow from.
 const DEFAULT_RETRY: Duration = Duration::from_secs(1);
 const MIN_RETRY: Duration = Duration::from_millis(50);
@@ -29,8 +33,10 @@
         let tasks = u16::try_from(request.tasks.len()).unwrap_or(u16::MAX);
         self.check_backends()?;
         self.check_room(tasks)?;
-        self.check_deadline(request, tasks)?;
+        self.check_deadline(request, tasks, now)?;
         self.check_quota(&request.team, tasks)?;
+        let arrivals = self.arrivals.entry(request.team.clone()).or_default();
+        arrivals.add(tasks, now);
         self.reservations
             .add(&request.key, &request.team, tasks.into(), now);
         Ok(())
@@ -61,12 +67,12 @@
         ))
     }
 
-    fn check_deadline(&self, request: &JobRequest, tasks: u16) -> Result<()> {
+    fn check_deadline(&mut self, request: &JobRequest, tasks: u16, now: Instant) -> Result<()> {
         let Some(longest) = self.runs.longest_of(tasks) else {
             return Ok(());
         };
         let deadline = Duration::from_millis(request.deadline_ms.into());
-        let wait = self.expected_wait(&request.team, tasks);
+        let wait = self.expected_wait(&request.team, tasks, now);
         let expected = wait.mul_f64(SAFETY) + longest;
         if expected <= deadline {
             return Ok(());
@@ -86,16 +92,41 @@
         Err(refusal(Code::QuotaExceeded, detail, retry))
     }
 
-    /// Returns the time until the last of a job's tasks probably starts.
+    /// Returns the time until the last of a job's tasks probably starts. Before it go the team's
+    /// smaller jobs that wait, and those that arrive meanwhile.
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "an estimate needs no exact count"
+    )]
     #[must_use]
-    pub fn expected_wait(&self, team: &Name, tasks: u16) -> Duration {
-        let others = self.queue.other_weights(team);
+    pub fn expected_wait(&mut self, team: &Name, tasks: u16, now: Instant) -> Duration {
+        let Some(mean) = self.runs.mean() else {
+            return Duration::ZERO;
+        };
+        let class = class_of(tasks);
+        let ahead = self.queue.team_len(team, class) + usize::from(tasks);
+        let rate = self.concurrency().max(1.0) / mean.as_secs_f64();
+        let rate = self.rate_of_team(team, rate, now);
+        let own = self.arrivals.get_mut(team);
+        let overtaking = own.map_or(0.0, |a| a.before(class, now));
+        let left = (rate - overtaking).max(rate * MIN_RATE_LEFT);
+        Duration::from_secs_f64(ahead as f64 / left)
+    }
+
+    /// Returns the tasks of a team that start in a second while it has enough waiting: its share,
+    /// or what the other teams leave.
+    fn rate_of_team(&mut self, team: &Name, rate: f64, now: Instant) -> f64 {
         let own_weight = self.queue.weight(team);
-        let share = own_weight / (own_weight + others);
-        let own = self.queue.team_len(team) + usize::from(tasks);
-        let by_share = self.time_for(own).div_f64(share);
-        let by_all = self.time_for(self.waiting_and_reserved() + usize::from(tasks));
-        by_share.min(by_all)
+        let mut weights = own_weight;
+        let mut others = 0.0;
+        for (other, arrivals) in self.arrivals.iter_mut().filter(|(t, _)| *t != team) {
+            let arriving = arrivals.all(now);
+            others += arriving;
+            if arriving > rate * MIN_RATE_LEFT {
+                weights += self.queue.weight(other);
+            }
+        }
+        (rate * own_weight / weights).max(rate - others)
     }
 
     fn waiting_and_reserved(&self) -> usize {
--- a/crates/masticcross-entry/src/dispatch/mod.rs
+++ b/crates/masticcross-entry/src/dispatch/mod.rs
@@ -9,7 +9,7 @@
 //! asks the owner for a task only while it holds no shard.
 
 mod blame;
-mod budget;
+pub mod budget;
 mod demand;
 mod health;
 mod limits;
@@ -21,6 +21,7 @@
 mod serve;
 mod session;
 pub mod shard;
+mod sizes;
 mod usage;
 mod waiting;
 pub mod workers;
@@ -37,7 +38,7 @@
 
 use self::budget::RetryBudget;
 use self::pump::ServiceHandle;
-use self::queue::JobOrder;
+use self::queue::QueuePolicy;
 use self::session::Sessions;
 use self::shard::{Shard, ShardSettings};
 pub use self::usage::TeamUsage;
@@ -110,7 +111,9 @@
         for (service, tasks) in by_service {
             let handle = self.service_or_new(&service);
             let mut shard = handle.shard.lock();
-            tasks.into_iter().for_each(|task| shard.push(task));
+            for task in tasks {
+                shard.push(task);
+            }
             drop(shard);
             handle.wake();
         }
@@ -198,7 +201,7 @@
     fn start_service(&self, service: &Name) -> Arc<ServiceHandle> {
         let now = Instant::now();
         let settings = ShardSettings {
-            order: JobOrder::default(),
+            queue: QueuePolicy::default(),
             rule: PlacementRule::default(),
             zone: self.identity.zone.clone(),
             seed: self.identity.incarnation,
--- a/crates/masticcross-entry/src/dispatch/queue.rs
+++ b/crates/masticcross-entry/src/dispatch/queue.rs
@@ -8,17 +8,29 @@
 use tokio::time::Instant;
 
 use super::Waiting;
+use super::sizes::{CLASSES, class_of};
+
+/// How the queue decides.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct QueuePolicy {
+    /// Order of jobs.
+    pub order: JobOrder,
+    /// Service, in mean tasks of a team of weight 1, by which a team may be ahead of the one
+    /// furthest behind. Within it the order of jobs decides, so that jobs are served whole.
+    pub lead_tasks: f64,
+}
 
-/// Service, in mean tasks of a team of weight 1, by which a team may be ahead of the one furthest
-/// behind. Within it the order of jobs decides, so that jobs are served whole.
-const LEAD_TASKS: f64 = 64.0;
-
-/// Time that a job's place moves back for each second of its remaining work. It bounds how long a
-/// large job is overtaken by later ones.
-const REMAINING_FACTOR: f64 = 8.0;
+impl Default for QueuePolicy {
+    fn default() -> Self {
+        Self {
+            order: JobOrder::AgedWork { factor: 256 },
+            lead_tasks: 512.0,
+        }
+    }
+}
 
-/// Order of jobs within a team and, within [`LEAD_TASKS`], between teams.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+/// Order of jobs within a team and, within [`QueuePolicy::lead_tasks`], between teams.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum JobOrder {
     /// By arrival.
     FirstCome,
@@ -26,10 +38,14 @@
     EarliestDeadline,
     /// By remaining work alone. Large jobs may starve.
     ShortestRemaining,
-    /// By arrival, moved back by the remaining work: short jobs and jobs near their end go first,
-    /// and a job that waits goes ahead of all that arrive much later.
-    #[default]
-    AgedRemaining,
+    /// By arrival, moved back by the geometric mean of the remaining work and the whole work: short
+    /// jobs and jobs near their end go first, and a job that waits goes ahead of all that arrive
+    /// much later.
+    AgedWork {
+        /// Time that a job's place moves back for each second of that mean. It bounds how long a
+        /// large job is overtaken by later ones.
+        factor: u16,
+    },
 }
 
 /// Place of a job in its team's order: rank in microseconds, then arrival.
@@ -37,7 +53,7 @@
 
 /// Waiting tasks of one service.
 pub struct FairQueue {
-    order: JobOrder,
+    policy: QueuePolicy,
     origin: Instant,
     teams: Vec<TeamQueue>,
     team_ids: FxHashMap<Name, usize>,
@@ -53,6 +69,7 @@
     virtual_time: f64,
     mean_run_secs: f64,
     waiting: usize,
+    waiting_by_class: [usize; CLASSES],
     order: BTreeMap<Rank, JobKey>,
 }
 
@@ -66,9 +83,9 @@
 impl FairQueue {
     /// Creates an empty queue. Ranks count from `origin`.
     #[must_use]
-    pub fn new(order: JobOrder, origin: Instant) -> Self {
+    pub fn new(policy: QueuePolicy, origin: Instant) -> Self {
         Self {
-            order,
+            policy,
             origin,
             teams: Vec::new(),
             team_ids: FxHashMap::default(),
@@ -92,12 +109,11 @@
         self.waiting == 0
     }
 
-    /// Returns the number of waiting tasks of a team.
+    /// Returns the number of waiting tasks of a team in jobs of a class and below.
     #[must_use]
-    pub fn team_len(&self, team: &Name) -> usize {
-        self.team_ids
-            .get(team)
-            .map_or(0, |id| self.teams[*id].waiting)
+    pub fn team_len(&self, team: &Name, class: usize) -> usize {
+        let team = self.team_ids.get(team).map(|id| &self.teams[*id]);
+        team.map_or(0, |t| t.waiting_by_class[..=class].iter().sum())
     }
 
     /// Returns the team of a job with waiting tasks.
@@ -114,17 +130,6 @@
             .map_or(1.0, |id| self.teams[*id].weight)
     }
 
-    /// Returns the sum of the weights of the teams with waiting tasks, without one team.
-    #[must_use]
-    pub fn other_weights(&self, team: &Name) -> f64 {
-        let own = self.team_ids.get(team).copied();
-        let others = self.teams.iter().enumerate();
-        others
-            .filter(|(id, t)| Some(*id) != own && t.waiting > 0)
-            .map(|(_, t)| t.weight)
-            .sum()
-    }
-
     /// Sets the weight of a team.
     pub fn set_weight(&mut self, team: &Name, weight: u32) {
         let id = self.team_id(team);
@@ -163,6 +168,7 @@
         let waiting = job.tasks.pop_front()?;
         self.waiting -= 1;
         let queue = &mut self.teams[team];
+        queue.waiting_by_class[class_of(waiting.job_tasks)] -= 1;
         queue.waiting -= 1;
         queue.virtual_time += queue.charge();
         self.reorder(&key);
@@ -186,6 +192,8 @@
         team.order.remove(&job.rank);
         team.waiting -= job.tasks.len();
         self.waiting -= job.tasks.len();
+        let class = job.tasks.front().map_or(0, |t| class_of(t.job_tasks));
+        team.waiting_by_class[class] -= job.tasks.len();
         job.tasks.len()
     }
 
@@ -196,6 +204,7 @@
             self.catch_up(team);
         }
         self.waiting += 1;
+        self.teams[team].waiting_by_class[class_of(waiting.job_tasks)] += 1;
         self.teams[team].waiting += 1;
         let next_seq = &mut self.next_seq;
         let job = self.jobs.entry(key.clone()).or_insert_with(|| {
@@ -227,7 +236,7 @@
         let least = self.least_virtual_time();
         let backlogged = self.teams.iter().enumerate().filter(|(_, t)| t.waiting > 0);
         backlogged
-            .filter(|(_, t)| t.virtual_time <= least + LEAD_TASKS * t.mean_run_secs)
+            .filter(|(_, t)| t.virtual_time <= least + self.policy.lead_tasks * t.mean_run_secs)
             .filter_map(|(id, t)| Some((t.order.first_key_value()?.0, id)))
             .min()
             .map(|(_, id)| id)
@@ -251,13 +260,16 @@
             self.jobs.remove(key);
             return;
         };
-        let remaining = team.remaining_micros(job.tasks.len(), self.concurrency);
+        let remaining = team.work_micros(job.tasks.len(), self.concurrency);
         let arrived = micros_after(self.origin, first.arrived);
-        let rank = match self.order {
+        let rank = match self.policy.order {
             JobOrder::FirstCome => arrived,
             JobOrder::EarliestDeadline => micros_after(self.origin, first.deadline),
             JobOrder::ShortestRemaining => remaining,
-            JobOrder::AgedRemaining => arrived.saturating_add(remaining),
+            JobOrder::AgedWork { factor } => {
+                let whole = team.work_micros(first.job_tasks.into(), self.concurrency);
+                arrived.saturating_add(geometric_mean(remaining, whole) * i64::from(factor))
+            }
         };
         let place = (rank, job.seq);
         if job.rank != place || !team.order.contains_key(&place) {
@@ -285,6 +297,7 @@
             virtual_time,
             mean_run_secs: 0.1,
             waiting: 0,
+            waiting_by_class: [0; CLASSES],
             order: BTreeMap::new(),
         }
     }
@@ -298,11 +311,20 @@
         clippy::cast_precision_loss,
         reason = "a rank needs no more than microseconds"
     )]
-    fn remaining_micros(&self, tasks: usize, concurrency: f64) -> i64 {
-        (tasks as f64 * self.mean_run_secs / concurrency * REMAINING_FACTOR * 1e6) as i64
+    fn work_micros(&self, tasks: usize, concurrency: f64) -> i64 {
+        (tasks as f64 * self.mean_run_secs / concurrency * 1e6) as i64
     }
 }
 
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_precision_loss,
+    reason = "a rank needs no more than microseconds"
+)]
+fn geometric_mean(a: i64, b: i64) -> i64 {
+    ((a as f64) * (b as f64)).sqrt() as i64
+}
+
 fn micros_after(origin: Instant, at: Instant) -> i64 {
     let micros = |d: Duration| i64::try_from(d.as_micros()).unwrap_or(i64::MAX);
     match at.checked_duration_since(origin) {
--- a/crates/masticcross-entry/src/dispatch/shard.rs
+++ b/crates/masticcross-entry/src/dispatch/shard.rs
@@ -1,6 +1,7 @@
 //! Everything that decides about the tasks of one service, under one lock: queue, workers, run
 //! times and limits. Nothing here waits, and all of it takes the time as an argument.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,9 +14,10 @@
 use super::Waiting;
 use super::blame::{Blame, Verdict};
 use super::demand::DemandSignal;
-use super::queue::{FairQueue, JobOrder};
+use super::queue::{FairQueue, QueuePolicy};
 use super::reservation::Reservations;
 use super::runtime::RunTimes;
+use super::sizes::ArrivalRates;
 use super::usage::TeamUsage;
 use super::workers::{Connected, Outstanding, PlacementRule, WorkerId, Workers};
 
@@ -25,8 +27,8 @@
 /// What the experiments vary, and what the entry brings along.
 #[derive(Debug, Clone)]
 pub struct ShardSettings {
-    /// Order of jobs.
-    pub order: JobOrder,
+    /// Order of tasks.
+    pub queue: QueuePolicy,
     /// Choice of workers.
     pub rule: PlacementRule,
     /// Availability zone of the entry.
@@ -54,6 +56,7 @@
     pub(super) runs: RunTimes,
     pub(super) usage: Arc<TeamUsage>,
     pub(super) reservations: Reservations,
+    pub(super) arrivals: BTreeMap<Name, ArrivalRates>,
     pub(super) config: Option<Service>,
     pub(super) quotas: FxHashMap<Name, u32>,
     config_version: u64,
@@ -73,11 +76,12 @@
     ) -> Self {
         Self {
             service,
-            queue: FairQueue::new(settings.order, now),
+            queue: FairQueue::new(settings.queue, now),
             workers: Workers::new(settings.rule, settings.zone.clone(), settings.seed),
             runs: RunTimes::default(),
             usage,
             reservations: Reservations::default(),
+            arrivals: BTreeMap::new(),
             config: None,
             quotas: FxHashMap::default(),
             config_version: 0,
--- a/crates/masticcross-standins/src/lib.rs
+++ b/crates/masticcross-standins/src/lib.rs
@@ -1,1 +1,3 @@
-//! Stand-ins for the platform and for backend servers. Not shipped.
+//! Stand-ins for the platform and for backend servers, and experiments with the policy. Not shipped.
+
+pub mod experiment;
