--- a/crates/masticcross-entry/src/entry.rs
+++ b/crates/masticcross-entry/src/entry.rs
@@ -170,7 +170,9 @@
     /// Stops in order: hands over what it owns, lets requests in progress end, and leaves.
     pub async fn close(mut self) {
         self.draining.store(true, Ordering::Relaxed);
-        if timeout(self.drain_limit, self.owner.close()).await.is_err() {
+        self.peers.drain();
+        let closed = timeout(self.drain_limit, self.owner.close(&self.peers));
+        if closed.await.is_err() {
             log::warn!(entry:% = self.identity.name; "partitions left at the end of the drain limit");
         }
         self.callers.close(self.drain_limit).await;
@@ -219,7 +221,12 @@
                 return;
             };
             match hello.role {
-                Role::Agent => dispatch.serve_agent(hello, link).await,
+                Role::Agent => {
+                    let (worker, incarnation) = (hello.name.clone(), hello.incarnation);
+                    peers.register_agent(&worker, incarnation, &hello.zone);
+                    dispatch.serve_agent(hello, link).await;
+                    peers.agent_lost(&worker, incarnation);
+                }
                 Role::Entry => peers.serve_peer(hello, link, owner).await,
             }
         });
--- a/crates/masticcross-ledger/src/record.rs
+++ b/crates/masticcross-ledger/src/record.rs
@@ -1,9 +1,75 @@
 //! Records of the streams, as JSON.
 
+use std::collections::BTreeMap;
+
 use masticcross_basics::{Digest, Epoch, JobKey, Name, Partition};
+use masticcross_log::Offset;
 use masticcross_wire::{Incarnation, Member};
 use serde::{Deserialize, Serialize};
 
+use crate::state::{AgentEntry, Ownership};
+
+/// One record of stream `config`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "record", rename_all = "kebab-case")]
+pub enum ConfigRecord {
+    /// A proposed configuration.
+    Change(ConfigChange),
+    /// The configuration in force after all records before an offset.
+    Snapshot(ConfigSnapshot),
+}
+
+/// The configuration in force after all records before an offset of stream `config`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigSnapshot {
+    /// The offset.
+    pub at: Offset,
+    /// Version in force; 0 before the first document.
+    pub version: u64,
+    /// Who published it.
+    pub author: String,
+    /// The document in TOML.
+    pub document: String,
+}
+
+/// One record of stream `partitions`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "record", rename_all = "kebab-case")]
+pub enum PartitionsRecord {
+    /// Changes that are applied in order.
+    Changes {
+        /// Unique number of the record, by which a lost reply is settled.
+        id: u64,
+        /// The changes.
+        changes: Vec<PartitionsChange>,
+    },
+    /// Members, owners and agents after all records before an offset.
+    Snapshot(PartitionsSnapshot),
+    /// Starts anew without members, owners and agents, after all earlier records were dropped.
+    /// It has an effect only if its own offset is the one named, so the first of several wins, and
+    /// a snapshot that was appended before it wins as well.
+    Reset {
+        /// The offset that the record must have.
+        at: Offset,
+    },
+}
+
+/// Members, owners and agents after all records before an offset of stream `partitions`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartitionsSnapshot {
+    /// The offset.
+    pub at: Offset,
+    /// Entries that take part, by name.
+    pub members: BTreeMap<Name, Member>,
+    /// Owners, by position of the partition.
+    pub partitions: Vec<Ownership>,
+    /// Agents that may start tasks, by worker.
+    pub agents: BTreeMap<Name, AgentEntry>,
+    /// Position after the last record that replaced or removed an agent.
+    #[serde(default)]
+    pub agents_lost_at: u64,
+}
+
 /// A proposed configuration, on stream `config`. It is accepted only if `base` is the version in
 /// force at its place in the stream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -16,6 +82,11 @@
     pub author: String,
     /// The document in TOML.
     pub document: String,
+    /// Set only by the operator's tool when earlier records were dropped and no process showed a
+    /// snapshot: the record is then accepted in any case if its own offset is this one. Its version
+    /// is the offset plus one, which is larger than any before.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub restore_at: Option<Offset>,
 }
 
 /// A partition that is claimed, with the epoch that it must still have.
@@ -53,6 +124,15 @@
         /// The partitions.
         partitions: Vec<PartitionClaim>,
     },
+    /// The owner of a partition makes the member that has taken its table the next owner.
+    Transfer {
+        /// Name of the new owner.
+        owner: Name,
+        /// Its incarnation, which must be a member.
+        incarnation: Incarnation,
+        /// The partition.
+        claim: PartitionClaim,
+    },
     /// An agent may start tasks. It replaces an older incarnation of the same worker.
     AgentUp {
         /// The worker.
@@ -84,6 +164,20 @@
     pub repeatable: bool,
     /// Number of tasks.
     pub tasks: u16,
+    /// The owner's position in stream `partitions`. An agent lost after it may have started tasks
+    /// of the job.
+    #[serde(default)]
+    pub view: u64,
+}
+
+/// The end of one job, on stream `admissions`. An admission counts again only if it comes later and
+/// under no older epoch.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndedRecord {
+    /// The job.
+    pub key: JobKey,
+    /// Epoch of the owner that ended it.
+    pub epoch: Epoch,
 }
 
 /// Jobs admitted together, one record of stream `admissions`.
@@ -95,4 +189,7 @@
     pub at_ms: u64,
     /// The jobs.
     pub jobs: Vec<AdmissionRecord>,
+    /// Jobs that ended: nothing of them starts any more, whoever owns the partition.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub ended: Vec<EndedRecord>,
 }
--- a/crates/masticcross-standins/src/experiment/model.rs
+++ b/crates/masticcross-standins/src/experiment/model.rs
@@ -29,7 +29,7 @@
 /// Most times that a task of a job is tried.
 const MAX_TRIES: usize = 3;
 
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Arrive,
     Tick,
--- a/crates/masticcross-standins/src/experiment/worker.rs
+++ b/crates/masticcross-standins/src/experiment/worker.rs
@@ -80,10 +80,9 @@
     /// Decides what becomes of a task that starts now.
     pub fn fate(&self, run: Duration, rng: &mut SmallRng) -> Fate {
         match self.behaviour {
-            Behaviour::Good => Fate::Done(run),
             Behaviour::FailAll => Fate::Failed(FAIL_TIME),
             Behaviour::FailSome(share) if rng.random_bool(share) => Fate::Failed(FAIL_TIME),
-            Behaviour::FailSome(_) => Fate::Done(run),
+            Behaviour::Good | Behaviour::FailSome(_) => Fate::Done(run),
             Behaviour::Slow(factor) => Fate::Done(run.mul_f64(factor)),
             Behaviour::Hang => Fate::Never,
         }
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,60 @@
+//! The subcommands, one module each.
+
+pub mod demo;
+pub mod publish;
+pub mod serve;
+
+use eyre::{Result, WrapErr};
+
+/// A parsed command line.
+#[derive(Debug, Clone)]
+pub enum Command {
+    /// Run an entry.
+    Serve(serve::Args),
+    /// Run the whole system in one process.
+    Demo(demo::Args),
+    /// Publish a configuration document.
+    Publish(publish::PublishArgs),
+    /// Take an availability zone out of service.
+    Drain(publish::ZoneArgs),
+    /// Bring an availability zone back into service.
+    Restore(publish::ZoneArgs),
+}
+
+impl Command {
+    /// Runs the command to its end.
+    ///
+    /// # Errors
+    /// Says what failed, with the context of each step.
+    pub fn execute(self) -> Result<()> {
+        match self {
+            Self::Serve(args) => serve::execute(args),
+            Self::Demo(args) => demo::execute(args),
+            Self::Publish(args) => publish::execute(&args),
+            Self::Drain(args) => publish::execute_zone(&args, false),
+            Self::Restore(args) => publish::execute_zone(&args, true),
+        }
+    }
+}
+
+/// Starts the runtime of a command.
+///
+/// # Errors
+/// Fails if the system has no threads left.
+pub fn runtime() -> Result<tokio::runtime::Runtime> {
+    tokio::runtime::Runtime::new().wrap_err("cannot start the runtime")
+}
+
+/// Waits for the signal to stop: SIGTERM or an interrupt from the terminal.
+///
+/// # Errors
+/// Fails if the signals cannot be watched.
+pub async fn stop_signal() -> Result<()> {
+    use tokio::signal::unix::{SignalKind, signal};
+    let mut terminate = signal(SignalKind::terminate())?;
+    tokio::select! {
+        biased;
+        _ = terminate.recv() => Ok(()),
+        interrupted = tokio::signal::ctrl_c() => Ok(interrupted?),
+    }
+}
