--- a/crates/masticcross-agent/src/core/tests.rs
+++ b/crates/masticcross-agent/src/core/tests.rs
@@ -164,6 +164,7 @@
         members: vec![member("e1"), member("e2")],
         partitions: vec![owner; usize::from(PARTITIONS)],
         registered: true,
+        registered_at: 1,
     }
 }
 
--- a/crates/masticcross-agent/src/core/view/tests.rs
+++ b/crates/masticcross-agent/src/core/view/tests.rs
@@ -22,6 +22,7 @@
             epoch: Epoch(partitions),
         }],
         registered: true,
+        registered_at: 1,
     }
 }
 
--- a/crates/masticcross-wire/src/codec/tests.rs
+++ b/crates/masticcross-wire/src/codec/tests.rs
@@ -300,6 +300,7 @@
             epoch: Epoch(u64::arbitrary(g)),
         }),
         registered: bool::arbitrary(g),
+        registered_at: u64::arbitrary(g),
     }
 }
 
