--- a/crates/masticcross-agent/src/core/mod.rs
+++ b/crates/masticcross-agent/src/core/mod.rs
@@ -19,6 +19,9 @@
 pub mod starts;
 pub mod view;
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -201,6 +204,7 @@
             self.refuse_all_queued(&mut state, NotStartedReason::ViewStale, now);
         }
         self.resend_after(&mut state, &change);
+        self.grant(&mut state, now);
     }
 
     /// Notes how many tasks of a service wait at a session's entry.
@@ -320,7 +324,8 @@
         }
         let services: Vec<Name> = state.credits.keys().cloned().collect();
         for service in services {
-            let capacity = state.capacity(&service, &self.limits, now);
+            let entries = self.view.view().map_or(0, |view| view.members.len());
+            let capacity = state.capacity(&service, &self.limits, entries, now);
             let Some(credits) = state.credits.get_mut(&service) else {
                 continue;
             };
@@ -350,7 +355,13 @@
 }
 
 impl State {
-    fn capacity(&self, service: &Name, limits: &AgentLimits, now: Instant) -> Capacity {
+    fn capacity(
+        &self,
+        service: &Name,
+        limits: &AgentLimits,
+        entries: usize,
+        now: Instant,
+    ) -> Capacity {
         let slots = self.backends.places(service, now);
         let running = self
             .running
@@ -361,6 +372,7 @@
             slots,
             prefetch: limits.prefetch_for(slots),
             busy: busy as u64,
+            entries: entries as u64,
         }
     }
 
