Use the dotted stream names in the entry's tests

Cause: six router tests, two session tests and the seeded schedules waited on streams partitions/perth and partitions/west, which nobody writes to since the streams are named with a dot. Ruled out: the router itself; with the names mended all pass unchanged. Change: the names in the tests' fakes; no check, bound or seed changed.

--- a/crates/masticcross-entry/tests/scripted/mod.rs
+++ b/crates/masticcross-entry/tests/scripted/mod.rs
@@ -31,7 +31,7 @@
 use tokio::time::{sleep, timeout};
 
 pub const ME: &str = "a";
-const PARTITIONS: &str = "partitions/perth";
+const PARTITIONS: &str = "partitions.perth";
 const WAIT: Duration = Duration::from_secs(20);
 
 /// What a scripted entry says when asked which agents it hears.
--- a/crates/masticcross-entry/tests/support/cluster.rs
+++ b/crates/masticcross-entry/tests/support/cluster.rs
@@ -203,7 +203,7 @@
     /// snapshot covers them.
     pub async fn cut_log(&self) {
         let log = self.log.client("platform");
-        for stream in ["config", "partitions/west"] {
+        for stream in ["config", "partitions.west"] {
             if let Some(at) = last_snapshot(&log, stream).await {
                 self.log.cut(stream, at);
             }
