--- a/src/cmd/load.rs
+++ b/src/cmd/load.rs
@@ -7,9 +7,6 @@
 
 use super::{Command, runtime};
 
-/// Arguments of the command.
-pub type Args = LoadArgs;
-
 /// Returns the parser of the command.
 pub fn command() -> impl Parser<Command> {
     load_args()
@@ -20,11 +17,11 @@
         .map(Command::Load)
 }
 
-/// Runs the command.
+/// Sends the jobs and prints the report.
 ///
 /// # Errors
 /// Fails if the run could not be made, or with `--strict` if a promise was broken.
-pub fn execute(args: Args) -> Result<()> {
+pub fn execute(args: LoadArgs) -> Result<()> {
     logging::init_with_default(LogFormat::Text, "warn");
     Ok(runtime()?.block_on(load::run(args))?)
 }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -6,6 +6,7 @@
 pub mod serve;
 
 use eyre::{Result, WrapErr};
+use masticcross_standins::load::LoadArgs;
 
 /// A parsed command line.
 #[derive(Debug, Clone)]
@@ -14,14 +15,14 @@
     Serve(serve::Args),
     /// Run the whole system in one process.
     Demo(demo::Args),
+    /// Send jobs and report what callers see.
+    Load(LoadArgs),
     /// Publish a configuration document.
     Publish(publish::PublishArgs),
     /// Take an availability zone out of service.
     Drain(publish::ZoneArgs),
     /// Bring an availability zone back into service.
     Restore(publish::ZoneArgs),
-    /// Send jobs and report what callers see.
-    Load(load::Args),
 }
 
 impl Command {
@@ -33,10 +34,10 @@
         match self {
             Self::Serve(args) => serve::execute(args),
             Self::Demo(args) => demo::execute(args),
+            Self::Load(args) => load::execute(args),
             Self::Publish(args) => publish::execute(&args),
             Self::Drain(args) => publish::execute_zone(&args, false),
             Self::Restore(args) => publish::execute_zone(&args, true),
-            Self::Load(args) => load::execute(args),
         }
     }
 }
