--- a/crates/masticcross-log/src/http/tests.rs
+++ b/crates/masticcross-log/src/http/tests.rs
@@ -1,6 +1,10 @@
 //! Tests of the meaning of replies and of a log that cannot be reached. The tests against a running
 //! stand-in are in the package of the stand-ins.
 
+use quickcheck::quickcheck;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
 use super::*;
 
 fn reply(status: u16, body: &str) -> Reply {
@@ -119,3 +123,66 @@
         assert!(reason.contains("cannot be sent"), "{reason}");
     }
 }
+
+/// Answers each connection with the same bytes and closes it.
+async fn raw_server(bytes: &'static [u8]) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let address = listener.local_addr().expect("address").to_string();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut buf = [0; 4096];
+            let _ = stream.read(&mut buf).await;
+            let _ = stream.write_all(bytes).await;
+        }
+    });
+    address
+}
+
+/// Names cases of raw bytes in place of a reply; an append is unknown and a read unavailable.
+macro_rules! raw_cases {
+    ($($name:ident: $bytes:expr;)*) => {
+        $(
+            #[tokio::test]
+            async fn $name() {
+                let address = raw_server($bytes).await;
+                let mut settings = HttpLogSettings::new(address, Name::from("test"));
+                settings.max_reply_bytes = 16;
+                let log = HttpLog::new(settings);
+                let append = log.append("s", Arc::from("a")).await;
+                assert!(matches!(append, Err(LogError::Unknown(_))), "got {append:?}");
+                let read = log.read("s", 0, 1, Duration::ZERO).await;
+                assert!(matches!(read, Err(LogError::Unavailable(_))), "got {read:?}");
+                let bounds = log.bounds("s").await;
+                assert!(matches!(bounds, Err(LogError::Unavailable(_))), "got {bounds:?}");
+            }
+        )*
+    };
+}
+
+raw_cases! {
+    closed_without_reply: b"";
+    reply_is_not_http: b"\x16\x03\x01 what is this\r\n\r\n";
+    reply_breaks_off_in_its_head: b"HTTP/1.1 201 Crea";
+    reply_breaks_off_in_its_body: b"HTTP/1.1 201 Created\r\ncontent-length: 12\r\n\r\n{\"off";
+    reply_is_over_the_limit:
+        b"HTTP/1.1 201 Created\r\ncontent-length: 30\r\n\r\n{\"offset\":1                   }";
+    reply_has_a_bad_chunk: b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n";
+}
+
+quickcheck! {
+    fn any_reply_has_a_meaning(status: u16, header: u64, body: Vec<u8>) -> bool {
+        let status = http::StatusCode::from_u16(100 + status % 500).expect("status");
+        let reply = || {
+            let mut headers = http::HeaderMap::new();
+            headers.insert("retry-after-ms", header.into());
+            Reply { status, headers, body: Bytes::from(body.clone()) }
+        };
+        // Only a reply to an append can leave its effect open.
+        let append = reply().into_offset();
+        let read = reply().into_batch(0, 10);
+        let bounds = reply().into_bounds();
+        (append.is_err() || status == 201)
+            && !matches!(read, Err(LogError::Unknown(_)))
+            && !matches!(bounds, Err(LogError::Unknown(_)))
+    }
+}
--- a/crates/masticcross-standins/src/load/caller.rs
+++ b/crates/masticcross-standins/src/load/caller.rs
@@ -50,13 +50,38 @@
     None,
 }
 
+/// Failures of one submission on its way to an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Losses {
+    /// Connections that an entry did not take; nothing was sent.
+    pub refused: u32,
+    /// Connections that broke with a request in progress.
+    pub broken: u32,
+}
+
+impl Losses {
+    /// Returns the number of failures.
+    #[must_use]
+    pub fn total(self) -> u32 {
+        self.refused + self.broken
+    }
+
+    fn add(&mut self, error: &CallError) {
+        if error.is_connect() {
+            self.refused += 1;
+        } else {
+            self.broken += 1;
+        }
+    }
+}
+
 /// An answer with what it took.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Answered {
     /// The answer.
     pub answer: Answer,
-    /// Connections lost, each followed by a retry if there was time.
-    pub lost_connections: u32,
+    /// Failures on the way, each followed by a retry if there was time.
+    pub losses: Losses,
     /// Time from the moment at which the submission was due.
     pub elapsed: Duration,
 }
@@ -98,25 +123,26 @@
     /// Submits a job which was due at a moment, and returns the answer.
     pub async fn submit(&self, submission: &Submission, due: Instant) -> Answered {
         let end = due + submission.deadline + ANSWER_SLACK;
-        let mut lost_connections = 0;
-        let exchange = self.retry(submission, &mut lost_connections);
+        let mut losses = Losses::default();
+        let exchange = self.retry(submission, &mut losses);
         let answer = match timeout_at(end, exchange).await {
             Ok(response) => check(submission, &response),
             Err(_) => Answer::None,
         };
         Answered {
             answer,
-            lost_connections,
+            losses,
             elapsed: due.elapsed(),
         }
     }
 
     /// Sends the submission to one entry after the other until there is a response.
-    async fn retry(&self, submission: &Submission, lost_connections: &mut u32) -> Response {
+    async fn retry(&self, submission: &Submission, losses: &mut Losses) -> Response {
         let body = submission.body();
         let time = submission.deadline + ANSWER_SLACK;
         loop {
-            let entry = submission.entry(*lost_connections, self.entries.len());
+            let attempt = losses.total();
+            let entry = submission.entry(attempt, self.entries.len());
             let uri = format!(
                 "http://{}/v1/services/{}/jobs/{}",
                 self.entries[entry], submission.service, submission.job
@@ -124,10 +150,12 @@
             let call = self.client.send(Method::PUT, &uri, body.clone(), time);
             match call.await {
                 Ok(response) => return response,
-                Err(e) => log_loss(submission, &e),
+                Err(e) => {
+                    log_loss(submission, &e);
+                    losses.add(&e);
+                }
             }
-            sleep(pause(*lost_connections)).await;
-            *lost_connections += 1;
+            sleep(pause(attempt)).await;
         }
     }
 }
--- a/crates/masticcross-standins/src/load/report.rs
+++ b/crates/masticcross-standins/src/load/report.rs
@@ -93,9 +93,11 @@
     pub unanswered: u64,
     /// Whole answers after the deadline.
     pub late: u64,
-    /// Connections lost.
-    pub lost_connections: u64,
-    /// Submissions that were retried after a lost connection.
+    /// Connections that an entry did not take; nothing was sent.
+    pub refused_connections: u64,
+    /// Connections that broke with a request in progress.
+    pub broken_connections: u64,
+    /// Submissions that were retried after either.
     pub retried: u64,
     /// Submissions sent later than due, for lack of connections.
     pub delayed: u64,
@@ -160,8 +162,9 @@
     /// Notes an answer, and whether it agrees with earlier ones of the same job.
     pub fn answered(&mut self, submission: &Submission, answered: &Answered, agrees: bool) {
         let report = &mut self.report;
-        report.lost_connections += u64::from(answered.lost_connections);
-        report.retried += u64::from(answered.lost_connections > 0);
+        report.refused_connections += u64::from(answered.losses.refused);
+        report.broken_connections += u64::from(answered.losses.broken);
+        report.retried += u64::from(answered.losses.total() > 0);
         report.differing += u64::from(!agrees);
         match answered.answer {
             Answer::Complete { .. } => self.completed(submission, answered.elapsed),
--- a/crates/masticcross-standins/src/load/report/table.rs
+++ b/crates/masticcross-standins/src/load/report/table.rs
@@ -64,7 +64,8 @@
         row(f, "differing answers", self.differing)?;
         row(f, "unanswered", self.unanswered)?;
         row(f, "late answers", self.late)?;
-        row(f, "connections lost", self.lost_connections)?;
+        row(f, "connections refused", self.refused_connections)?;
+        row(f, "connections broken in use", self.broken_connections)?;
         row(f, "submissions retried", self.retried)?;
         row(f, "sent later than due", self.delayed)?;
         row(f, "not compared", self.untracked)
--- a/crates/masticcross-standins/src/load/tests.rs
+++ b/crates/masticcross-standins/src/load/tests.rs
@@ -8,7 +8,7 @@
 use serde_json::json;
 
 use super::arrivals::{Arrivals, Phase, Plan};
-use super::caller::{Answer, Answered, check};
+use super::caller::{Answer, Answered, Losses, check};
 use super::days::{Day, phases};
 use super::jobs::JobTable;
 use super::mix::{Deployment, Mix, Span};
@@ -49,7 +49,7 @@
 fn answered(answer: Answer, ms: u64) -> Answered {
     Answered {
         answer,
-        lost_connections: 0,
+        losses: Losses::default(),
         elapsed: Duration::from_millis(ms),
     }
 }
@@ -235,7 +235,10 @@
         let other = submission("b", 0, &[10]);
         recorder.sent(&other, true);
         let mut answered = answered(answer, 5);
-        answered.lost_connections = 2;
+        answered.losses = Losses {
+            refused: 1,
+            broken: 2,
+        };
         recorder.answered(&other, &answered, true);
     }
     recorder.given_up(3);
@@ -249,10 +252,9 @@
         (report.partial, report.wrong_values, report.unanswered),
         (1, 1, 4)
     );
-    assert_eq!(
-        (report.lost_connections, report.retried, report.delayed),
-        (12, 6, 6)
-    );
+    assert_eq!((report.retried, report.delayed), (6, 6));
+    let connections = (report.refused_connections, report.broken_connections);
+    assert_eq!(connections, (6, 12));
     let counts: Vec<_> = report
         .refused
         .iter()
--- a/crates/masticcross-standins/tests/http_log.rs
+++ b/crates/masticcross-standins/tests/http_log.rs
@@ -11,6 +11,7 @@
 use masticcross_standins::http::server::Server;
 use masticcross_standins::log::server::LogHandler;
 use masticcross_standins::log::{MemoryLog, MemoryLogSettings, Occurrence};
+use masticcross_standins::relay::{Relay, RelaySettings};
 use serde_json::json;
 use tokio::net::TcpListener;
 
@@ -203,3 +204,28 @@
     }
     assert_eq!(offset, Ok(1));
 }
+
+#[tokio::test]
+async fn calls_that_time_out_leave_no_connection() {
+    let f = Fixture::start(MemoryLogSettings::default()).await;
+    let relay = Relay::start(RelaySettings::new(f.server.address())).await;
+    let relay = relay.expect("relay");
+    let mut settings = HttpLogSettings::new(relay.address().to_string(), Name::from("one"));
+    settings.append_timeout = Duration::from_millis(200);
+    settings.read_timeout = Duration::from_millis(200);
+    let log = HttpLog::new(settings);
+    relay.faults().change(|all| all.freeze_to_client = true);
+    for _ in 0..3 {
+        let append = log.append("s", Arc::from("a")).await;
+        assert!(matches!(append, Err(LogError::Unknown(_))));
+        let read = log.read("s", 0, 1, Duration::ZERO).await;
+        assert!(matches!(read, Err(LogError::Unavailable(_))));
+    }
+    relay.faults().clear();
+    while !relay.connections().is_empty() {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    assert_eq!(f.memory.appended(), 3);
+    let next = log.append("s", Arc::from("b")).await;
+    assert_eq!(next, Ok(3));
+}
--- a/crates/masticcross-standins/tests/load.rs
+++ b/crates/masticcross-standins/tests/load.rs
@@ -174,7 +174,8 @@
     assert_eq!(report.complete, report.submissions);
     let lost: u32 = entries[0].requests.lock().values().sum();
     assert!(lost > 0);
-    assert_eq!(report.lost_connections, u64::from(lost));
+    assert_eq!(report.broken_connections, u64::from(lost));
+    assert_eq!(report.refused_connections, 0);
     assert_eq!(report.retried, u64::from(lost));
     assert_eq!(entries[1].requests.lock().len() as u64, report.jobs);
 }
@@ -186,6 +187,18 @@
     assert_eq!(report.retried, report.submissions);
 }
 
+#[tokio::test]
+async fn refused_connection_is_told_from_a_broken_one() {
+    let (entry, server) = start(Manner::Whole).await;
+    let args = args(&[&server], &["--entry", "127.0.0.1:1"]);
+    let arrivals = Arrivals::new(args.plan("t").expect("plan"));
+    let report = send(&args, arrivals).await.expect("run");
+    assert_eq!(report.complete, report.submissions);
+    assert!(report.refused_connections > 0);
+    assert_eq!(report.broken_connections, 0);
+    assert_eq!(entry.requests.lock().len() as u64, report.jobs);
+}
+
 #[tokio::test]
 async fn starts_are_asked_from_backend_servers() {
     let settings = BackendSettings::new("w1", "quote-desk");
