--- a/crates/masticcross-standins/src/bin/standin-backend.rs
+++ b/crates/masticcross-standins/src/bin/standin-backend.rs
@@ -40,10 +40,20 @@
     #[bpaf(argument("MS"), fallback(100), display_fallback)]
     default_ms: u64,
     /// Share of tasks that fail at once, from 0 to 1
-    #[bpaf(argument("SHARE"), fallback(0.0), display_fallback)]
+    #[bpaf(
+        argument("SHARE"),
+        guard(|value| is_share(*value), "accepted is a number from 0 to 1"),
+        fallback(0.0),
+        display_fallback
+    )]
     fail_share: f64,
     /// Factor on run times
-    #[bpaf(argument("FACTOR"), fallback(1.0), display_fallback)]
+    #[bpaf(
+        argument("FACTOR"),
+        guard(|value| is_factor(*value), "accepted is a number from 0 to 10000"),
+        fallback(1.0),
+        display_fallback
+    )]
     slow_factor: f64,
     /// Let tasks never end by themselves
     hang: bool,
@@ -78,6 +88,14 @@
     }
 }
 
+fn is_share(share: f64) -> bool {
+    (0.0..=1.0).contains(&share)
+}
+
+fn is_factor(factor: f64) -> bool {
+    (0.0..=10_000.0).contains(&factor)
+}
+
 #[tokio::main]
 async fn main() -> eyre::Result<()> {
     let options = signal::parse_options(&options());
--- a/crates/masticcross-standins/src/load/args.rs
+++ b/crates/masticcross-standins/src/load/args.rs
@@ -4,21 +4,34 @@
 use std::time::Duration;
 
 use bpaf::Bpaf;
-use masticcross_basics::name::{NameError, check_name};
+use http::uri::Authority;
+use masticcross_basics::name::{NameError, check_job_id, check_name};
 
 use super::arrivals::{Phase, Plan};
 use super::days::{Day, phases};
 use super::mix::{Deployment, Mix, Span, Weighted, weighted};
 
+const ADDRESS: &str = "accepted is a host and a port, such as 127.0.0.1:8080";
+const RATE: &str = "accepted is a number above 0, at most 100000";
+const DURATION: &str = "accepted is a number above 0, at most 86400";
+const TASKS: &str = "accepted are 1 to 1000 tasks";
+const SHARE: &str = "accepted is a number from 0 to 1";
+const DEADLINE: &str = "accepted are 1 to 3600000";
+const CONNECTIONS: &str = "accepted are 1 to 20000";
+const PREFIX: &str = "accepted is a job id of at most 64 characters";
+
+/// Longest prefix, in bytes, which leaves room for the rest of a job id.
+const MAX_PREFIX_BYTES: usize = 64;
+
 /// Sends jobs and reports what callers see
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(generate(load_args))]
 pub struct LoadArgs {
     /// Host and port of an entry; may be repeated
-    #[bpaf(long, argument("ADDRESS"), many)]
+    #[bpaf(long, argument("ADDRESS"), guard(|text| is_address(text), ADDRESS), many)]
     pub entry: Vec<String>,
     /// Host and port of a backend server that is asked for its starts at the end; may be repeated
-    #[bpaf(long, argument("ADDRESS"), many)]
+    #[bpaf(long, argument("ADDRESS"), guard(|text| is_address(text), ADDRESS), many)]
     pub backend: Vec<String>,
     /// User whose mix of jobs is sent: guild or jal-seva
     #[bpaf(long, argument("USER"), fallback(Deployment::Guild))]
@@ -27,13 +40,25 @@
     #[bpaf(long, argument("DAY"))]
     pub day: Option<Day>,
     /// Jobs a second
-    #[bpaf(long, argument("COUNT"), fallback(5.0), display_fallback)]
+    #[bpaf(
+        long,
+        argument("COUNT"),
+        guard(|value| is_rate(*value), RATE),
+        fallback(5.0),
+        display_fallback
+    )]
     pub rate: f64,
     /// Time during which jobs are sent, in seconds
-    #[bpaf(long("duration-s"), argument("S"), fallback(10.0), display_fallback)]
+    #[bpaf(
+        long("duration-s"),
+        argument("S"),
+        guard(|value| is_duration(*value), DURATION),
+        fallback(10.0),
+        display_fallback
+    )]
     pub duration_s: f64,
     /// Tasks in a job, as MIN-MAX, in place of the user's mix
-    #[bpaf(long, argument("RANGE"))]
+    #[bpaf(long, argument("RANGE"), guard(|value| has_tasks(*value), TASKS), optional)]
     pub tasks: Option<Span>,
     /// Run time of a task in milliseconds, as MIN-MAX, in place of the user's mix
     #[bpaf(long("task-ms"), argument("RANGE"))]
@@ -45,22 +70,44 @@
     #[bpaf(long, argument("TEAM"), many)]
     pub team: Vec<String>,
     /// Share of jobs that must run at most once, from 0 to 1
-    #[bpaf(long("not-repeatable"), argument("SHARE"))]
+    #[bpaf(
+        long("not-repeatable"),
+        argument("SHARE"),
+        guard(|value| is_share(*value), SHARE),
+        optional
+    )]
     pub not_repeatable: Option<f64>,
     /// Time allowed for a job in milliseconds, in place of the user's
-    #[bpaf(long("deadline-ms"), argument("MS"))]
+    #[bpaf(
+        long("deadline-ms"),
+        argument("MS"),
+        guard(|value| is_deadline(*value), DEADLINE),
+        optional
+    )]
     pub deadline_ms: Option<u64>,
     /// Share of jobs submitted a second time through another entry, from 0 to 1
-    #[bpaf(long, argument("SHARE"), fallback(0.0), display_fallback)]
+    #[bpaf(
+        long,
+        argument("SHARE"),
+        guard(|value| is_share(*value), SHARE),
+        fallback(0.0),
+        display_fallback
+    )]
     pub resubmit: f64,
     /// Seed of all that is drawn
     #[bpaf(long, argument("SEED"), fallback(1), display_fallback)]
     pub seed: u64,
     /// Begin of all job ids; differs from run to run unless given
-    #[bpaf(long, argument("TEXT"))]
+    #[bpaf(long, argument("TEXT"), guard(|text| is_prefix(text), PREFIX), optional)]
     pub prefix: Option<String>,
     /// Requests in progress at once; further ones are sent later than due
-    #[bpaf(long, argument("COUNT"), fallback(1000), display_fallback)]
+    #[bpaf(
+        long,
+        argument("COUNT"),
+        guard(|value| is_connections(*value), CONNECTIONS),
+        fallback(1000),
+        display_fallback
+    )]
     pub connections: usize,
     /// File of recorded submissions to send in place of drawn ones
     #[bpaf(long, argument("FILE"))]
@@ -126,3 +173,36 @@
 fn only(span: Span) -> Vec<Weighted<Span>> {
     weighted([(1.0, span)], |span| span)
 }
+
+fn is_address(text: &str) -> bool {
+    let authority = text.parse::<Authority>();
+    authority.is_ok_and(|authority| authority.port_u16().is_some())
+}
+
+fn is_rate(rate: f64) -> bool {
+    rate > 0.0 && rate <= 100_000.0
+}
+
+fn is_duration(seconds: f64) -> bool {
+    seconds > 0.0 && seconds <= 86_400.0
+}
+
+fn has_tasks(tasks: Span) -> bool {
+    tasks.min >= 1 && tasks.max <= 1000
+}
+
+fn is_share(share: f64) -> bool {
+    (0.0..=1.0).contains(&share)
+}
+
+fn is_deadline(ms: u64) -> bool {
+    (1..=3_600_000).contains(&ms)
+}
+
+fn is_connections(count: usize) -> bool {
+    (1..=20_000).contains(&count)
+}
+
+fn is_prefix(text: &str) -> bool {
+    text.len() <= MAX_PREFIX_BYTES && check_job_id(text).is_ok()
+}
--- a/crates/masticcross-standins/tests/load.rs
+++ b/crates/masticcross-standins/tests/load.rs
@@ -215,3 +215,29 @@
     let args = args(&[], &[]);
     assert!(send(&args, std::iter::empty()).await.is_err());
 }
+
+/// Names cases of flags that are refused, and a part of the message.
+macro_rules! flag_cases {
+    ($($name:ident: $flag:literal, $value:literal => $expected:literal;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let parser = bpaf::Parser::to_options(load_args());
+                let failure = parser.run_inner(&[$flag, $value]).expect_err("refused");
+                let message = format!("{failure:?}");
+                assert!(message.contains($expected), "{message}");
+            }
+        )*
+    };
+}
+
+flag_cases! {
+    entry_without_port: "--entry", "127.0.0.1" => "host and a port";
+    rate_of_nothing: "--rate", "0" => "above 0";
+    rate_without_number: "--rate", "NaN" => "above 0";
+    endless_duration: "--duration-s", "inf" => "at most 86400";
+    share_above_one: "--resubmit", "1.5" => "from 0 to 1";
+    tasks_with_none: "--tasks", "0-5" => "1 to 1000";
+    unknown_day: "--day", "sunny" => "calm, burst and advisory";
+    prefix_with_blank: "--prefix", "a b" => "job id";
+}
