--- a/crates/masticcross-agent/src/core/mod.rs
+++ b/crates/masticcross-agent/src/core/mod.rs
@@ -19,13 +19,16 @@
 pub mod starts;
 pub mod view;
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use masticcross_basics::timeline::{Event, EventKind, Timeline};
 use masticcross_basics::{AttemptId, Epoch, Name, Partition};
-use masticcross_wire::{AgentView, Credit, Demand, Frame};
+use masticcross_wire::{AgentView, Credit, Demand, Frame, NotStartedReason};
 use parking_lot::Mutex;
 use tokio::time::Instant;
 
@@ -195,7 +198,13 @@
         }
         let mut state = self.state.lock();
         self.note_freshness(&mut state, now);
+        let registered_before = change.before.as_ref().map_or(0, |v| v.registered_at);
+        if registered_before != change.after.registered_at {
+            // Entries may have counted this agent as lost in between.
+            self.refuse_all_queued(&mut state, NotStartedReason::ViewStale, now);
+        }
         self.resend_after(&mut state, &change);
+        self.grant(&mut state, now);
     }
 
     /// Notes how many tasks of a service wait at a session's entry.
@@ -261,7 +270,7 @@
         }
         state.draining = true;
         self.sessions.send_to_all(&Frame::Drain);
-        self.refuse_all_queued(&mut state, now);
+        self.refuse_all_queued(&mut state, NotStartedReason::ShuttingDown, now);
     }
 
     /// Returns figures of the present moment.
@@ -315,7 +324,8 @@
         }
         let services: Vec<Name> = state.credits.keys().cloned().collect();
         for service in services {
-            let capacity = state.capacity(&service, &self.limits, now);
+            let entries = self.view.view().map_or(0, |view| view.members.len());
+            let capacity = state.capacity(&service, &self.limits, entries, now);
             let Some(credits) = state.credits.get_mut(&service) else {
                 continue;
             };
@@ -345,7 +355,13 @@
 }
 
 impl State {
-    fn capacity(&self, service: &Name, limits: &AgentLimits, now: Instant) -> Capacity {
+    fn capacity(
+        &self,
+        service: &Name,
+        limits: &AgentLimits,
+        entries: usize,
+        now: Instant,
+    ) -> Capacity {
         let slots = self.backends.places(service, now);
         let running = self
             .running
@@ -356,6 +372,7 @@
             slots,
             prefetch: limits.prefetch_for(slots),
             busy: busy as u64,
+            entries: entries as u64,
         }
     }
 
--- a/crates/masticcross-agent/src/core/starts.rs
+++ b/crates/masticcross-agent/src/core/starts.rs
@@ -51,10 +51,12 @@
             return Vec::new();
         };
         let deadline = now + Duration::from_millis(start.left_ms.into());
+        let mut runs = Vec::new();
         for task in &start.tasks {
             self.arrive(&mut state, session, &origin, start, task, deadline, now);
+            runs.extend(self.fill_places(&mut state, now));
         }
-        let runs = self.dispatch(&mut state, now);
+        self.grant(&mut state, now);
         state.attempts.trim(now);
         runs
     }
@@ -160,6 +162,7 @@
             id: task.attempt,
             payload: task.payload.clone(),
             deadline,
+            registered_at: self.view.registered_at(),
         };
         state.attempts.insert(new, now);
         match self.admit(state, &known, &queued, now) {
@@ -204,6 +207,9 @@
         if now >= task.deadline {
             return Err(NotStartedReason::DeadlinePassed);
         }
+        if task.registered_at != self.view.registered_at() {
+            return Err(NotStartedReason::ViewStale);
+        }
         if task.epoch < state.fence(task.partition) {
             return Err(NotStartedReason::OldEpoch);
         }
@@ -213,6 +219,12 @@
 
     /// Starts waiting tasks while places are free, then grants what is left.
     pub(super) fn dispatch(&self, state: &mut State, now: Instant) -> Vec<Run> {
+        let runs = self.fill_places(state, now);
+        self.grant(state, now);
+        runs
+    }
+
+    fn fill_places(&self, state: &mut State, now: Instant) -> Vec<Run> {
         let mut runs = Vec::new();
         for service in state.queue.services() {
             while state.queue.len(&service) > 0 {
@@ -228,7 +240,6 @@
                 }
             }
         }
-        self.grant(state, now);
         runs
     }
 
@@ -287,9 +298,14 @@
         }
     }
 
-    pub(super) fn refuse_all_queued(&self, state: &mut State, now: Instant) {
+    pub(super) fn refuse_all_queued(
+        &self,
+        state: &mut State,
+        reason: NotStartedReason,
+        now: Instant,
+    ) {
         let tasks = state.queue.take(|_| true);
-        self.refuse(state, &tasks, NotStartedReason::ShuttingDown, now);
+        self.refuse(state, &tasks, reason, now);
     }
 
     pub(super) fn refuse_overdue(&self, state: &mut State, now: Instant) {
