--- a/crates/masticcross-standins/tests/load.rs
+++ b/crates/masticcross-standins/tests/load.rs
@@ -174,7 +174,8 @@
     assert_eq!(report.complete, report.submissions);
     let lost: u32 = entries[0].requests.lock().values().sum();
     assert!(lost > 0);
-    assert_eq!(report.lost_connections, u64::from(lost));
+    assert_eq!(report.broken_connections, u64::from(lost));
+    assert_eq!(report.refused_connections, 0);
     assert_eq!(report.retried, u64::from(lost));
     assert_eq!(entries[1].requests.lock().len() as u64, report.jobs);
 }
@@ -186,6 +187,18 @@
     assert_eq!(report.retried, report.submissions);
 }
 
+#[tokio::test]
+async fn refused_connection_is_told_from_a_broken_one() {
+    let (entry, server) = start(Manner::Whole).await;
+    let args = args(&[&server], &["--entry", "127.0.0.1:1"]);
+    let arrivals = Arrivals::new(args.plan("t").expect("plan"));
+    let report = send(&args, arrivals).await.expect("run");
+    assert_eq!(report.complete, report.submissions);
+    assert!(report.refused_connections > 0);
+    assert_eq!(report.broken_connections, 0);
+    assert_eq!(entry.requests.lock().len() as u64, report.jobs);
+}
+
 #[tokio::test]
 async fn starts_are_asked_from_backend_servers() {
     let settings = BackendSettings::new("w1", "quote-desk");
@@ -202,3 +215,29 @@
     let args = args(&[], &[]);
     assert!(send(&args, std::iter::empty()).await.is_err());
 }
+
+/// Names cases of flags that are refused, and a part of the message.
+macro_rules! flag_cases {
+    ($($name:ident: $flag:literal, $value:literal => $expected:literal;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let parser = bpaf::Parser::to_options(load_args());
+                let failure = parser.run_inner(&[$flag, $value]).expect_err("refused");
+                let message = format!("{failure:?}");
+                assert!(message.contains($expected), "{message}");
+            }
+        )*
+    };
+}
+
+flag_cases! {
+    entry_without_port: "--entry", "127.0.0.1" => "host and a port";
+    rate_of_nothing: "--rate", "0" => "above 0";
+    rate_without_number: "--rate", "NaN" => "above 0";
+    endless_duration: "--duration-s", "inf" => "at most 86400";
+    share_above_one: "--resubmit", "1.5" => "from 0 to 1";
+    tasks_with_none: "--tasks", "0-5" => "1 to 1000";
+    unknown_day: "--day", "sunny" => "calm, burst and advisory";
+    prefix_with_blank: "--prefix", "a b" => "job id";
+}
