Stay away once the sessions ended at a stop

Cause: in the last 100 ms of a stop the agent dialled its entries again (seen in a run of separate processes). Change: a stage of the stop after which nothing is dialled; a gauge of results that no owner has released. Conclusion: entries see the agent leave once.

--- a/crates/masticcross-agent/src/agent.rs
+++ b/crates/masticcross-agent/src/agent.rs
@@ -32,6 +32,17 @@
 /// Result of the set-up of an agent.
 pub type Result<T> = crate::metrics::Result<T>;
 
+/// How far the stop of an agent has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Stage {
+    /// Sessions are kept, also while running tasks end.
+    Running,
+    /// Sessions end and are not opened again.
+    Leaving,
+    /// Everything ends.
+    Closed,
+}
+
 /// One agent.
 pub struct Agent {
     pub(crate) settings: Settings,
@@ -39,7 +50,7 @@
     pub(crate) dialer: Arc<dyn Dialer>,
     client: Arc<dyn BackendClient>,
     next_session: AtomicU64,
-    pub(crate) closing: watch::Sender<bool>,
+    pub(crate) stage: watch::Sender<Stage>,
 }
 
 impl Agent {
@@ -65,16 +76,16 @@
             dialer,
             client,
             next_session: AtomicU64::new(1),
-            closing: watch::Sender::new(false),
+            stage: watch::Sender::new(Stage::Running),
         }))
     }
 
     /// Keeps sessions to the entries and runs tasks until [`Agent::close`].
     pub async fn run(self: Arc<Self>) {
-        let mut closing = self.closing.subscribe();
+        let mut stage = self.stage.subscribe();
         tokio::select! {
             biased;
-            _ = closing.wait_for(|closing| *closing) => {}
+            _ = stage.wait_for(|stage| *stage == Stage::Closed) => {}
             () = connector::keep_sessions(self.clone()) => {}
             () = self.keep_time() => {}
         }
@@ -92,9 +103,10 @@
             log::warn!(running = stats.running, unreleased = stats.unreleased;
                 "time for the stop is over");
         }
+        self.stage.send_replace(Stage::Leaving);
         self.core.sessions().close_all(Code::ShuttingDown);
         sleep(GOODBYE_TIME).await;
-        self.closing.send_replace(true);
+        self.stage.send_replace(Stage::Closed);
     }
 
     /// Adds or renews a backend server.
--- a/crates/masticcross-agent/src/connector.rs
+++ b/crates/masticcross-agent/src/connector.rs
@@ -11,6 +11,7 @@
 use tokio::time::sleep;
 
 use crate::Agent;
+use crate::agent::Stage;
 use crate::session::{self, SessionEnd};
 
 /// Interval at which the list of entries is looked at.
@@ -26,7 +27,8 @@
 pub async fn keep_sessions(agent: Arc<Agent>) {
     let mut tasks: BTreeMap<SocketAddr, JoinHandle<()>> = BTreeMap::new();
     loop {
-        let wanted = targets(&agent);
+        let running = *agent.stage.borrow() == Stage::Running;
+        let wanted = if running { targets(&agent) } else { Vec::new() };
         tasks.retain(|_, task| !task.is_finished());
         for addr in wanted {
             tasks
@@ -69,13 +71,13 @@
 
 /// Keeps a session with one address until it is no longer wanted.
 async fn keep_session(agent: Arc<Agent>, addr: SocketAddr) {
-    let mut closing = agent.closing.subscribe();
+    let mut stage = agent.stage.subscribe();
     let mut rng = SmallRng::seed_from_u64(agent.settings.seed ^ hash(&addr));
     let mut wait = MIN_BACK_OFF;
     loop {
         let end = tokio::select! {
             biased;
-            _ = closing.wait_for(|closing| *closing) => return,
+            _ = stage.wait_for(|stage| *stage == Stage::Closed) => return,
             end = session::run(&agent, addr) => end,
         };
         wait = match end {
@@ -83,7 +85,7 @@
             SessionEnd::NotOpened => (wait * 2).min(MAX_BACK_OFF),
         };
         sleep(wait.mul_f64(rng.random_range(0.5..1.0))).await;
-        if !targets(&agent).contains(&addr) {
+        if *agent.stage.borrow() != Stage::Running || !targets(&agent).contains(&addr) {
             return;
         }
     }
--- a/crates/masticcross-agent/src/metrics.rs
+++ b/crates/masticcross-agent/src/metrics.rs
@@ -23,6 +23,7 @@
     queued: IntGauge,
     attempts: IntGauge,
     attempt_bytes: IntGauge,
+    unreleased: IntGauge,
     sessions: IntGauge,
     backends: IntGauge,
     view_age: Gauge,
@@ -63,6 +64,7 @@
             queued: gauge("tasks_queued", "Tasks that wait for a place")?,
             attempts: gauge("attempts_kept", "Attempts kept")?,
             attempt_bytes: gauge("attempt_bytes", "Memory of the attempts kept, in bytes")?,
+            unreleased: gauge("results_unreleased", "Results that no owner has released")?,
             sessions: gauge("sessions", "Open sessions with entries")?,
             backends: gauge("backends", "Backend servers that get tasks")?,
             view_fresh: gauge("view_fresh", "1 while the view may be used to start tasks")?,
@@ -112,6 +114,7 @@
         self.queued.set(count(stats.queued));
         self.attempts.set(count(stats.attempts));
         self.attempt_bytes.set(count(stats.attempt_bytes));
+        self.unreleased.set(count(stats.unreleased));
         self.sessions.set(count(stats.sessions));
         self.backends.set(count(stats.backends));
         self.view_fresh.set(i64::from(stats.view_fresh));
--- a/crates/masticcross-agent/tests/agent.rs
+++ b/crates/masticcross-agent/tests/agent.rs
@@ -80,5 +80,7 @@
     assert!(!closing.is_finished());
     entry.send(Frame::Release(vec![queued.key]));
     entry.next(|f| matches!(f, Frame::Goodbye(_))).await;
+    drop(entry);
     closing.await.expect("the stop ends");
+    assert!(rig.no_dial(), "an agent that left does not come back");
 }
--- a/crates/masticcross-agent/tests/support/mod.rs
+++ b/crates/masticcross-agent/tests/support/mod.rs
@@ -116,6 +116,11 @@
         }
     }
 
+    /// Returns true if the agent has not dialled since the last session was taken.
+    pub fn no_dial(&mut self) -> bool {
+        self.links.try_recv().is_err()
+    }
+
     /// Takes the next session that the agent opens, as the entry `e1`.
     pub async fn accept(&mut self) -> Entry {
         let link = self.links.recv().await.expect("the agent dials");
