--- a/crates/masticcross-entry/src/owner/ownership.rs
+++ b/crates/masticcross-entry/src/owner/ownership.rs
@@ -8,7 +8,7 @@
 use masticcross_ledger::{AgreedState, Ownership};
 use masticcross_log::LogError;
 use masticcross_wire::JobRecord;
-use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use super::recovery::{Recovery, Registered};
 use super::shard::{Phase, Shard};
@@ -130,9 +130,10 @@
             let asked = self.dispatch.gather(*partition, *epoch);
             log::debug!(partition = partition.index(), agents = asked.len(); "agents asked");
         }
-        let fence_until = since + self.rules().fence;
-        sleep_until(fence_until).await;
-        self.wait_for_agents(&acquired, fence_until + self.settings.gather_grace)
+        if self.settings.checks.fence {
+            self.agreement.fence_passed(since).await;
+        }
+        self.wait_for_agents(&acquired, Instant::now() + self.settings.gather_grace)
             .await;
         let recent = self.read_recent(&acquired).await;
         let state = self.agreement.state();
--- a/crates/masticcross-entry/src/owner/settings.rs
+++ b/crates/masticcross-entry/src/owner/settings.rs
@@ -69,11 +69,16 @@
 }
 
 impl Rules {
-    /// Works out the rules; without a document the defaults hold.
-    pub(super) fn new(document: Option<&Document>, settings: &OwnerSettings) -> Self {
+    /// Works out the rules; without a document the defaults hold. The fence is the one that the
+    /// agreement names now.
+    pub(super) fn new(
+        document: Option<&Document>,
+        fence: Duration,
+        settings: &OwnerSettings,
+    ) -> Self {
         let times = document.map_or_else(Times::default, |d| d.times.clone());
         let fence = if settings.checks.fence {
-            times.fence()
+            fence
         } else {
             Duration::ZERO
         };
--- a/crates/masticcross-entry/src/owner/shell.rs
+++ b/crates/masticcross-entry/src/owner/shell.rs
@@ -43,7 +43,8 @@
     /// Works out the rules in force.
     pub(super) fn rules(&self) -> Rules {
         let state = self.agreement.state();
-        Rules::new(state.config.document.as_deref(), &self.settings)
+        let document = state.config.document.as_deref();
+        Rules::new(document, self.agreement.fence(), &self.settings)
     }
 
     /// Returns true while this entry may say "not run" and admit jobs.
--- a/crates/masticcross-entry/src/peers/agents.rs
+++ b/crates/masticcross-entry/src/peers/agents.rs
@@ -257,7 +257,7 @@
 async fn take_off_lost(peers: &Peers) {
     let state = peers.agreement.state();
     let times = peers.agreement.times();
-    let limit = times.suspect_after() + times.fence();
+    let limit = times.suspect_after() + peers.agreement.fence();
     peers.agents.tables.lock().observe(&state, limit);
     if !is_first_live(peers, &state, times.suspect_after()) {
         return;
--- a/crates/masticcross-entry/src/peers/membership.rs
+++ b/crates/masticcross-entry/src/peers/membership.rs
@@ -13,7 +13,7 @@
 use masticcross_ledger::{AgreedState, PartitionClaim, PartitionsChange};
 use masticcross_wire::{Incarnation, Member};
 use tokio::task::JoinSet;
-use tokio::time::{Instant, MissedTickBehavior, interval};
+use tokio::time::{Instant, timeout};
 
 use super::{Peers, preference};
 
@@ -137,13 +137,10 @@
 pub(super) async fn decide_while_running(peers: &Arc<Peers>) {
     let mut states = peers.agreement.watch();
     let mut observer = Observer::new(peers);
-    let mut ticks = interval(peers.agreement.times().heartbeat() / 2);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        tokio::select! {
-            biased;
-            changed = states.changed() => if changed.is_err() { return },
-            _ = ticks.tick() => {}
+        let tick = peers.agreement.times().heartbeat() / 2;
+        if let Ok(Err(_)) = timeout(tick, states.changed()).await {
+            return;
         }
         observer.look();
     }
--- a/crates/masticcross-entry/src/peers/outbound.rs
+++ b/crates/masticcross-entry/src/peers/outbound.rs
@@ -16,7 +16,7 @@
 use rand::{Rng, SeedableRng};
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
-use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 use twox_hash::XxHash3_64;
 
 use super::{PeerError, Peers, Result};
@@ -214,11 +214,9 @@
     if peers.is_draining(&peers.identity.member()) {
         let _ = session.send(Frame::Drain);
     }
-    let times = peers.agreement.times();
-    let mut heartbeat = interval(times.heartbeat());
-    heartbeat.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut nonce = 0;
     let mut heard_at = Instant::now();
+    let mut ping_at = heard_at;
     loop {
         tokio::select! {
             biased;
@@ -231,7 +229,9 @@
                 }
                 None => return,
             },
-            _ = heartbeat.tick() => {
+            () = sleep_until(ping_at) => {
+                let times = peers.agreement.times();
+                ping_at = Instant::now() + times.heartbeat();
                 if heard_at.elapsed() > times.suspect_after() {
                     log::info!(peer = &*member.name; "session lost: the peer is silent");
                     return;
--- a/crates/masticcross-entry/tests/membership.rs
+++ b/crates/masticcross-entry/tests/membership.rs
@@ -150,7 +150,7 @@
     let cluster = start(3).await;
     sleep(Duration::from_mins(1)).await;
     let appended = cluster.log.appended();
-    sleep(Duration::from_mins(60)).await;
+    sleep(Duration::from_hours(1)).await;
     let appends = cluster.log.appended() - appended;
     println!("appends an hour: {appends}");
     assert!(appends <= 60);
--- a/crates/masticcross-ledger/src/agreement.rs
+++ b/crates/masticcross-ledger/src/agreement.rs
@@ -1,6 +1,7 @@
 //! The running fold: reads both streams, knows how fresh the result is, and appends changes.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use masticcross_basics::timeline::{Event, EventKind, Timeline};
@@ -10,7 +11,7 @@
 use masticcross_wire::Incarnation;
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::watch;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::append::Appender;
 use crate::fold::{StreamFold, StreamKind};
@@ -19,6 +20,9 @@
 use crate::state::AgreedState;
 use crate::{CONFIG_STREAM, PARTITIONS_STREAM, snapshot, tail};
 
+/// Pause before a fence is looked at again.
+const FENCE_PAUSE: Duration = Duration::from_millis(50);
+
 /// Result of an append.
 pub type Result<T> = std::result::Result<T, LogError>;
 
@@ -57,6 +61,13 @@
     noted: bool,
 }
 
+/// The fence of a configuration that was replaced. Views from before may be used that long.
+#[derive(Debug, Clone, Copy)]
+struct ReplacedFence {
+    fence: Duration,
+    until: Instant,
+}
+
 /// The agreed state as this process knows it, and how old that knowledge is.
 pub struct Agreement {
     identity: LedgerIdentity,
@@ -67,6 +78,8 @@
     folds: Mutex<Folds>,
     state: watch::Sender<Arc<AgreedState>>,
     fresh_at: RwLock<FreshAt>,
+    replaced: Mutex<Vec<ReplacedFence>>,
+    any_replaced: AtomicBool,
     appender: Appender,
 }
 
@@ -99,6 +112,8 @@
             }),
             state: watch::Sender::new(Arc::default()),
             fresh_at: RwLock::default(),
+            replaced: Mutex::default(),
+            any_replaced: AtomicBool::new(false),
         })
     }
 
@@ -136,13 +151,51 @@
         )
     }
 
+    /// Returns the wait after which no start is possible any more under a view from before now. A
+    /// configuration that was replaced a short time ago counts as well: views of it may still be in
+    /// use, for as long as it allowed.
+    #[must_use]
+    pub fn fence(&self) -> Duration {
+        let fence = self.times().fence();
+        if !self.any_replaced.load(Ordering::Acquire) {
+            return fence;
+        }
+        let now = Instant::now();
+        let mut replaced = self.replaced.lock();
+        replaced.retain(|r| r.until > now);
+        self.any_replaced
+            .store(!replaced.is_empty(), Ordering::Release);
+        let longest = replaced.iter().map(|r| r.fence).max();
+        fence.max(longest.unwrap_or_default())
+    }
+
+    /// Waits until no start is possible any more under a view from before a moment, and until this
+    /// process provably held all records from before that moment, so that the configuration whose
+    /// fence counts is known to it.
+    pub async fn fence_passed(&self, since: Instant) {
+        let mut fence = self.fence();
+        loop {
+            sleep_until(since + fence).await;
+            fence = fence.max(self.fence());
+            let held = self.held_at().is_some_and(|at| at >= since);
+            if held && since + fence <= Instant::now() {
+                return;
+            }
+            sleep(FENCE_PAUSE).await;
+        }
+    }
+
     /// Returns how long ago this process provably held all records of both streams; none if it
     /// never did.
     #[must_use]
     pub fn view_age(&self) -> Option<Duration> {
+        Some(self.held_at()?.elapsed())
+    }
+
+    /// Returns the moment at which this process provably held all records of both streams.
+    fn held_at(&self) -> Option<Instant> {
         let fresh_at = *self.fresh_at.read();
-        let oldest = fresh_at.config?.min(fresh_at.partitions?);
-        Some(Instant::now().saturating_duration_since(oldest))
+        Some(fresh_at.config?.min(fresh_at.partitions?))
     }
 
     /// Returns true while the view may be used to decide: it is younger than the freshness time of
@@ -235,6 +288,7 @@
         if !batch.records.is_empty() {
             let mut state = AgreedState::clone(&before);
             taken = fold.take(&mut state, batch);
+            self.note_replaced(&fold.take_replaced());
             self.publish(&before, state);
         }
         let caught_up = fold.is_caught_up(batch);
@@ -249,6 +303,18 @@
         progressed
     }
 
+    fn note_replaced(&self, replaced: &[Times]) {
+        let now = Instant::now();
+        let fences = replaced.iter().map(Times::fence);
+        let fences = fences.map(|fence| ReplacedFence {
+            fence,
+            until: now + fence,
+        });
+        let mut list = self.replaced.lock();
+        list.extend(fences);
+        self.any_replaced.store(!list.is_empty(), Ordering::Release);
+    }
+
     fn publish(&self, before: &AgreedState, state: AgreedState) {
         if state.config.version != before.config.version {
             let detail = format!("version {}", state.config.version);
--- a/crates/masticcross-ledger/src/fold.rs
+++ b/crates/masticcross-ledger/src/fold.rs
@@ -1,6 +1,7 @@
 //! The fold of one stream, without input or output: which records have been applied, and how a
 //! reader that missed records finds its way back.
 
+use masticcross_config::Times;
 use masticcross_log::{Batch, Offset, Record};
 use serde::de::DeserializeOwned;
 
@@ -50,6 +51,7 @@
     snapshot: Option<Offset>,
     changes: u64,
     skipped: u64,
+    replaced: Vec<Times>,
 }
 
 impl StreamFold {
@@ -63,6 +65,7 @@
             snapshot: None,
             changes: 0,
             skipped: 0,
+            replaced: Vec::new(),
         }
     }
 
@@ -107,6 +110,11 @@
         self.skipped
     }
 
+    /// Takes out the times of the configurations that were replaced since the last call.
+    pub fn take_replaced(&mut self) -> Vec<Times> {
+        std::mem::take(&mut self.replaced)
+    }
+
     /// Learns that records before `first` are not kept any more.
     pub fn truncated(&mut self, first: Offset) {
         self.first = self.first.max(first);
@@ -187,7 +195,11 @@
         state.version.config = record.offset + 1;
         match self.parse(record) {
             Some(ConfigRecord::Change(change)) => {
+                let before = state.config.document.clone();
                 let accepted = state.apply_config(record.offset, &change);
+                if accepted && let Some(document) = before {
+                    self.replaced.push(document.times.clone());
+                }
                 self.changes += u64::from(accepted);
                 (Some(change.id), accepted)
             }
--- a/crates/masticcross-ledger/tests/agreement.rs
+++ b/crates/masticcross-ledger/tests/agreement.rs
@@ -12,7 +12,7 @@
 };
 use masticcross_log::{Log, LogError};
 use masticcross_standins::log::{MemoryLog, Occurrence};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 const P: Partition = Partition(7);
 
@@ -262,3 +262,45 @@
     read_time().await;
     assert_eq!(a.state().config.version, 1);
 }
+
+fn document_with_freshness(ms: u32) -> String {
+    format!("{}\n[times]\nfreshness_ms = {ms}\n", document(0))
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_fence_covers_views_of_a_configuration_just_replaced() {
+    let log = new_log();
+    let slow = document_with_freshness(4_000);
+    publish(&log, 0, "ann", &slow).await.unwrap();
+    let a = start_default(&log, "a");
+    sleep(Duration::from_secs(1)).await;
+    let fast = document_with_freshness(1_000);
+    publish(&log, 1, "ann", &fast).await.unwrap();
+    read_time().await;
+    assert_eq!(a.fence(), Duration::from_millis(4_200));
+    let b = start_default(&log, "b");
+    read_time().await;
+    assert_eq!(b.fence(), Duration::from_millis(4_200));
+    sleep(Duration::from_secs(5)).await;
+    assert_eq!(a.fence(), Duration::from_millis(1_050));
+    assert_eq!(b.fence(), Duration::from_millis(1_050));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_fence_waits_for_the_configuration_that_was_in_force() {
+    let log = new_log();
+    let fast = document_with_freshness(1_000);
+    publish(&log, 0, "ann", &fast).await.unwrap();
+    let a = start_default(&log, "a");
+    sleep(Duration::from_secs(1)).await;
+    log.faults().cut_off("a", true);
+    let slow = document_with_freshness(4_000);
+    publish(&log, 1, "ann", &slow).await.unwrap();
+    let since = Instant::now();
+    let waiting = tokio::spawn(async move { a.fence_passed(since).await });
+    sleep(Duration::from_secs(2)).await;
+    assert!(!waiting.is_finished());
+    log.faults().cut_off("a", false);
+    waiting.await.unwrap();
+    assert!(since.elapsed() >= Duration::from_millis(4_200));
+}
