--- a/crates/masticcross-ledger/src/agreement.rs
+++ b/crates/masticcross-ledger/src/agreement.rs
@@ -18,7 +18,7 @@
 use crate::record::PartitionsChange;
 use crate::settings::{AgreementSettings, times_or_default};
 use crate::state::AgreedState;
-use crate::{CONFIG_STREAM, PARTITIONS_STREAM, snapshot, tail};
+use crate::{CONFIG_STREAM, PARTITIONS_STREAM, region_stream, snapshot, tail};
 
 /// Pause before a fence is looked at again.
 const FENCE_PAUSE: Duration = Duration::from_millis(50);
@@ -98,7 +98,7 @@
         timeline: Timeline,
         settings: AgreementSettings,
     ) -> Arc<Self> {
-        let partitions_stream = format!("{PARTITIONS_STREAM}/{}", identity.region);
+        let partitions_stream = region_stream(PARTITIONS_STREAM, &identity.region);
         Arc::new(Self {
             appender: Appender::new(&identity, settings.seed),
             identity,
