--- a/crates/masticcross-entry/tests/schedules.rs
+++ b/crates/masticcross-entry/tests/schedules.rs
@@ -4,6 +4,7 @@
 
 use support::node::EntrySettings;
 use support::observer::Counts;
+use support::on_paused_clock;
 use support::schedule::{Fault, Schedule, Step, run};
 
 /// Schedules without `MASTICCROSS_SCHEDULES`.
@@ -12,15 +13,6 @@
 /// Seed from which the first schedule comes.
 const FIRST_SEED: u64 = 1;
 
-fn on_paused_clock<T>(run: impl Future<Output = T>) -> T {
-    tokio::runtime::Builder::new_current_thread()
-        .enable_time()
-        .start_paused(true)
-        .build()
-        .expect("a runtime")
-        .block_on(run)
-}
-
 /// What a schedule came to.
 fn outcome(schedule: &Schedule, settings: &EntrySettings) -> Result<Counts, String> {
     let (broken, counts, timeline) = on_paused_clock(run(schedule, settings.clone()));
--- a/crates/masticcross-entry/tests/support/mod.rs
+++ b/crates/masticcross-entry/tests/support/mod.rs
@@ -9,3 +9,13 @@
 pub mod node;
 pub mod observer;
 pub mod schedule;
+
+/// Runs a future to its end on a clock that moves only when everything waits.
+pub fn on_paused_clock<T>(run: impl Future<Output = T>) -> T {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .expect("a runtime")
+        .block_on(run)
+}
--- a/crates/masticcross-entry/tests/support/net.rs
+++ b/crates/masticcross-entry/tests/support/net.rs
@@ -32,8 +32,12 @@
     latency: Duration,
     weather: Arc<watch::Sender<Weather>>,
     listeners: Arc<Mutex<BTreeMap<SocketAddr, Listener>>>,
+    tamper: Arc<Mutex<Option<Tamper>>>,
 }
 
+/// Changes frames on their way, to take a rule out of the process that gets them.
+type Tamper = fn(&mut Frame);
+
 struct Listener {
     process: Name,
     links: mpsc::Sender<Link>,
@@ -46,6 +50,7 @@
             latency,
             weather: Arc::default(),
             listeners: Arc::default(),
+            tamper: Arc::default(),
         }
     }
 
@@ -68,6 +73,11 @@
         })
     }
 
+    /// Changes every frame on its way from now on.
+    pub fn tamper(&self, tamper: Tamper) {
+        *self.tamper.lock() = Some(tamper);
+    }
+
     /// Holds frames from one process to another, until healed.
     pub fn cut(&self, from: &Name, to: &Name) {
         let pair = (from.clone(), to.clone());
@@ -147,6 +157,7 @@
         let pair = (from.clone(), to.clone());
         let both = ordered(from, to);
         let latency = self.latency;
+        let tamper = self.tamper.clone();
         let mut weather = self.weather.subscribe();
         let mut broken = self.weather.subscribe();
         let is_broken = move |w: &Weather| {
@@ -169,7 +180,11 @@
                     if !open {
                         return;
                     }
-                    for frame in batch.drain(..) {
+                    let change = *tamper.lock();
+                    for mut frame in batch.drain(..) {
+                        if let Some(change) = change {
+                            change(&mut frame);
+                        }
                         if tx.send(frame).await.is_err() {
                             return;
                         }
