--- a/crates/masticcross-entry/src/owner/tests.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Tests of the decisions.
