--- a/crates/masticcross-entry/src/dispatch/demand.rs
+++ b/crates/masticcross-entry/src/dispatch/demand.rs
@@ -10,11 +10,18 @@
 use super::Dispatch;
 use super::shard::Shard;
 
-/// Time for which tasks have to wait, or not to wait, before agents are told.
-const SETTLE: Duration = Duration::from_millis(200);
+/// Time for which the number has to differ before agents are told.
+const SETTLE: Duration = Duration::from_millis(500);
 
 /// Factor by which the number of waiting tasks has to change before agents are told again.
-const FACTOR: usize = 2;
+const FACTOR: usize = 4;
+
+/// Tasks that have to wait, for each that runs, before agents are told at all. Fewer are served by
+/// the credits that agents renew anyway.
+const WAITING_PER_RUNNING: f64 = 2.0;
+
+/// Part of that number below which agents are told that nothing waits.
+const HYSTERESIS: f64 = 0.25;
 
 /// What agents were told last, and since when it is different.
 #[derive(Debug, Default)]
@@ -25,7 +32,8 @@
 
 impl DemandSignal {
     /// Returns the number to tell, if agents are to be told now.
-    pub fn update(&mut self, waiting: usize, now: Instant) -> Option<usize> {
+    pub fn update(&mut self, waiting: usize, running: f64, now: Instant) -> Option<usize> {
+        let waiting = self.worth_telling(waiting, running);
         if !differs(self.told, waiting) {
             self.differs_since = None;
             return None;
@@ -38,10 +46,21 @@
         self.differs_since = None;
         Some(waiting)
     }
+
+    /// Returns the number, or none if so few wait that agents need not know.
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "a comparison needs no exact count"
+    )]
+    fn worth_telling(&self, waiting: usize, running: f64) -> usize {
+        let part = if self.told == 0 { 1.0 } else { HYSTERESIS };
+        let least = running * WAITING_PER_RUNNING * part;
+        if (waiting as f64) < least { 0 } else { waiting }
+    }
 }
 
 fn differs(told: usize, waiting: usize) -> bool {
-    (told == 0) != (waiting == 0) || waiting >= told * FACTOR * 2 || waiting * FACTOR * 2 <= told
+    (told == 0) != (waiting == 0) || waiting > told * FACTOR || waiting * FACTOR < told
 }
 
 impl Dispatch {
@@ -54,7 +73,9 @@
             };
             (waiting, shard.workers().connected())
         };
-        let waiting = u32::try_from(waiting).unwrap_or(u32::MAX);
+        // Each agent learns its part, so that what it receives tells it what is left.
+        let part = waiting.div_ceil(workers.len().max(1));
+        let waiting = u32::try_from(part).unwrap_or(u32::MAX);
         for session in workers.iter().filter_map(|w| self.sessions.of_worker(w)) {
             session.send(Frame::Demand(Demand {
                 service: service.clone(),
--- a/crates/masticcross-entry/src/dispatch/health.rs
+++ b/crates/masticcross-entry/src/dispatch/health.rs
@@ -14,6 +14,12 @@
 const FIRST_BACKOFF: Duration = Duration::from_secs(1);
 const MAX_BACKOFF: Duration = Duration::from_mins(1);
 
+/// Tasks that have to end well, one at a time, before a worker is back.
+const PROBES: u32 = 3;
+
+/// Time after its return in which a worker that is taken out again stays out longer.
+const RELAPSE_TIME: Duration = Duration::from_mins(2);
+
 /// Pause of a worker that did not start a task for a reason that passes by itself.
 const PAUSE: Duration = Duration::from_millis(100);
 
@@ -27,8 +33,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Standing {
     In,
-    Out { until: Instant, backoff: Duration },
-    Probing { backoff: Duration },
+    Out { until: Instant },
+    Probing { successes: u32 },
 }
 
 /// Standing of one worker.
@@ -36,6 +42,8 @@
 pub struct Health {
     standing: Standing,
     failures: f64,
+    backoff: Duration,
+    back_since: Option<Instant>,
     paused_until: Option<Instant>,
     ramp_since: Instant,
 }
@@ -47,6 +55,8 @@
         Self {
             standing: Standing::In,
             failures: 0.0,
+            backoff: FIRST_BACKOFF,
+            back_since: None,
             paused_until: None,
             ramp_since: now,
         }
@@ -64,7 +74,7 @@
             return 0;
         }
         match self.standing {
-            Standing::Out { until, .. } if now < until => 0,
+            Standing::Out { until } if now < until => 0,
             Standing::Out { .. } | Standing::Probing { .. } => 1,
             Standing::In if self.failures >= 1.0 => 1,
             Standing::In => self.ramp(now),
@@ -96,28 +106,36 @@
 
     /// Notes that a task was sent.
     pub fn sent(&mut self) {
-        if let Standing::Out { backoff, .. } = self.standing {
-            self.standing = Standing::Probing { backoff };
+        if let Standing::Out { .. } = self.standing {
+            self.standing = Standing::Probing { successes: 0 };
         }
     }
 
     /// Notes a task that ended well.
     pub fn succeeded(&mut self, now: Instant) {
-        if self.is_out() {
-            self.standing = Standing::In;
-            self.failures = 0.0;
-            self.restart_ramp(now);
+        match self.standing {
+            Standing::In => self.failures = (self.failures - SUCCESS_WORTH).max(0.0),
+            Standing::Out { .. } => {}
+            Standing::Probing { successes } if successes + 1 < PROBES => {
+                self.standing = Standing::Probing {
+                    successes: successes + 1,
+                };
+            }
+            Standing::Probing { .. } => {
+                self.failures = 0.0;
+                self.come_back(now);
+            }
         }
-        self.failures = (self.failures - SUCCESS_WORTH).max(0.0);
     }
 
     /// Notes a failure that counts against the worker. It is taken out only if `may_leave`.
     pub fn failed(&mut self, now: Instant, may_leave: bool) {
         self.failures += 1.0;
         match self.standing {
-            Standing::Probing { backoff } => self.leave(now, (backoff * 2).min(MAX_BACKOFF)),
+            Standing::Probing { .. } => self.leave(now, true),
             Standing::In if self.failures >= FAILURES_OUT && may_leave => {
-                self.leave(now, FIRST_BACKOFF);
+                let back = self.back_since.map(|b| now.saturating_duration_since(b));
+                self.leave(now, back.is_some_and(|time| time < RELAPSE_TIME));
             }
             Standing::In | Standing::Out { .. } => {}
         }
@@ -127,8 +145,7 @@
     pub fn excuse(&mut self, failures: u32, now: Instant) {
         self.failures = (self.failures - f64::from(failures)).max(0.0);
         if self.is_out() && self.failures < FAILURES_OUT {
-            self.standing = Standing::In;
-            self.restart_ramp(now);
+            self.come_back(now);
         }
     }
 
@@ -137,10 +154,20 @@
         self.paused_until = Some(now + PAUSE);
     }
 
-    fn leave(&mut self, now: Instant, backoff: Duration) {
+    fn leave(&mut self, now: Instant, again: bool) {
+        self.backoff = if again {
+            (self.backoff * 2).min(MAX_BACKOFF)
+        } else {
+            FIRST_BACKOFF
+        };
         self.standing = Standing::Out {
-            until: now + backoff,
-            backoff,
+            until: now + self.backoff,
         };
     }
+
+    fn come_back(&mut self, now: Instant) {
+        self.standing = Standing::In;
+        self.back_since = Some(now);
+        self.restart_ramp(now);
+    }
 }
--- a/crates/masticcross-entry/src/dispatch/limits.rs
+++ b/crates/masticcross-entry/src/dispatch/limits.rs
@@ -4,6 +4,7 @@
 
 use masticcross_basics::{Code, Name};
 use masticcross_wire::{JobRequest, Refusal};
+use smallvec::SmallVec;
 use tokio::time::Instant;
 
 use super::Result;
@@ -13,8 +14,11 @@
 /// Allowance for the error of the expected time.
 const SAFETY: f64 = 1.2;
 
-/// Least share of the rate that is left for large jobs.
-const MIN_RATE_LEFT: f64 = 0.02;
+/// Part of the rate below which the arrivals of a team do not count.
+const MIN_RATE: f64 = 0.001;
+
+/// Time for which the jobs that arrive now are expected to go on arriving.
+const HORIZON_SECS: f64 = 6.0;
 
 /// Wait named in a refusal when nothing was observed that it could follow from.
 const DEFAULT_RETRY: Duration = Duration::from_secs(1);
@@ -31,12 +35,15 @@
             return Ok(());
         }
         let tasks = u16::try_from(request.tasks.len()).unwrap_or(u16::MAX);
+        let arrivals = self.arrivals.entry(request.team.clone()).or_default();
+        arrivals.offered.add(tasks, now);
         self.check_backends()?;
         self.check_room(tasks)?;
         self.check_deadline(request, tasks, now)?;
         self.check_quota(&request.team, tasks)?;
-        let arrivals = self.arrivals.entry(request.team.clone()).or_default();
-        arrivals.add(tasks, now);
+        if let Some(arrivals) = self.arrivals.get_mut(&request.team) {
+            arrivals.admitted.add(tasks, now);
+        }
         self.reservations
             .add(&request.key, &request.team, tasks.into(), now);
         Ok(())
@@ -108,25 +115,26 @@
         let rate = self.concurrency().max(1.0) / mean.as_secs_f64();
         let rate = self.rate_of_team(team, rate, now);
         let own = self.arrivals.get_mut(team);
-        let overtaking = own.map_or(0.0, |a| a.before(class, now));
-        let left = (rate - overtaking).max(rate * MIN_RATE_LEFT);
-        Duration::from_secs_f64(ahead as f64 / left)
+        let overtaking = own.map_or(0.0, |a| a.admitted.before(class, now));
+        Duration::from_secs_f64(wait_secs(ahead as f64, rate, overtaking))
     }
 
     /// Returns the tasks of a team that start in a second while it has enough waiting: its share,
-    /// or what the other teams leave.
+    /// or what the other teams leave of theirs.
     fn rate_of_team(&mut self, team: &Name, rate: f64, now: Instant) -> f64 {
         let own_weight = self.queue.weight(team);
-        let mut weights = own_weight;
-        let mut others = 0.0;
+        let mut others = SmallVec::<[(f64, f64); 64]>::new();
         for (other, arrivals) in self.arrivals.iter_mut().filter(|(t, _)| *t != team) {
-            let arriving = arrivals.all(now);
-            others += arriving;
-            if arriving > rate * MIN_RATE_LEFT {
-                weights += self.queue.weight(other);
+            let offered = arrivals.offered.all(now);
+            if offered > rate * MIN_RATE {
+                others.push((self.queue.weight(other), offered));
             }
         }
-        (rate * own_weight / weights).max(rate - others)
+        let weights = own_weight + others.iter().map(|(weight, _)| weight).sum::<f64>();
+        let used = others
+            .iter()
+            .map(|(weight, offered)| offered.min(rate * weight / weights));
+        rate - used.sum::<f64>()
     }
 
     fn waiting_and_reserved(&self) -> usize {
@@ -146,6 +154,16 @@
     }
 }
 
+/// Returns the time in which a number of tasks start, while others overtake them for a time.
+fn wait_secs(ahead: f64, rate: f64, overtaking: f64) -> f64 {
+    let steady = ahead / (rate - overtaking);
+    if overtaking < rate && steady <= HORIZON_SECS {
+        steady
+    } else {
+        (ahead + overtaking * HORIZON_SECS) / rate
+    }
+}
+
 fn refusal(code: Code, detail: impl Into<String>, retry: Duration) -> Refusal {
     let retry = retry.clamp(MIN_RETRY, MAX_RETRY);
     let millis = u32::try_from(retry.as_millis()).unwrap_or(u32::MAX);
--- a/crates/masticcross-entry/src/dispatch/shard.rs
+++ b/crates/masticcross-entry/src/dispatch/shard.rs
@@ -17,13 +17,19 @@
 use super::queue::{FairQueue, QueuePolicy};
 use super::reservation::Reservations;
 use super::runtime::RunTimes;
-use super::sizes::ArrivalRates;
+use super::sizes::TeamArrivals;
 use super::usage::TeamUsage;
 use super::workers::{Connected, Outstanding, PlacementRule, WorkerId, Workers};
 
 /// Run times of the tasks of a team are its own after so many; before, the service's.
 const MIN_TEAM_SAMPLES: u32 = 8;
 
+/// A task that runs longer than the longest of so many is a straggler.
+const LONG_RUN_OF: u16 = 64;
+
+/// Part by which the estimate of concurrency moves with each tick.
+const CONCURRENCY_STEP: f64 = 0.3;
+
 /// What the experiments vary, and what the entry brings along.
 #[derive(Debug, Clone)]
 pub struct ShardSettings {
@@ -56,13 +62,14 @@
     pub(super) runs: RunTimes,
     pub(super) usage: Arc<TeamUsage>,
     pub(super) reservations: Reservations,
-    pub(super) arrivals: BTreeMap<Name, ArrivalRates>,
+    pub(super) arrivals: BTreeMap<Name, TeamArrivals>,
     pub(super) config: Option<Service>,
     pub(super) quotas: FxHashMap<Name, u32>,
     config_version: u64,
     team_runs: FxHashMap<Name, (RunTimes, u32)>,
     blame: Blame,
     demand: DemandSignal,
+    concurrency: Option<f64>,
 }
 
 impl Shard {
@@ -88,6 +95,7 @@
             team_runs: FxHashMap::default(),
             blame: Blame::default(),
             demand: DemandSignal::default(),
+            concurrency: None,
         }
     }
 
@@ -192,6 +200,7 @@
         let task = Outstanding {
             key: placement.waiting.key.clone(),
             team: Some(placement.waiting.team.clone()),
+            since: now,
         };
         self.workers.confirm(placement.worker, attempt, task, now);
     }
@@ -215,6 +224,7 @@
         let task = Outstanding {
             key: report.key.clone(),
             team: None,
+            since: now,
         };
         self.workers.adopt(worker, report.attempt, task, now);
     }
@@ -234,14 +244,16 @@
             TaskOutcome::Done(_) => self.succeeded(id, &task, ended, now),
             TaskOutcome::Failed(_) => self.failed(id, &ended.key, now),
             TaskOutcome::NotStarted(reason) => self.not_started(id, *reason, &ended.key, now),
-            TaskOutcome::Stopped | TaskOutcome::ResultDropped => {}
+            TaskOutcome::Stopped => self.stopped(id, &task, &ended.key, now),
+            TaskOutcome::ResultDropped => {}
         }
         true
     }
 
     /// Returns the number of waiting tasks if agents are to be told of it now.
     pub fn update_demand(&mut self, now: Instant) -> Option<usize> {
-        self.demand.update(self.queue.len(), now)
+        let waiting = self.queue.len();
+        self.demand.update(waiting, self.concurrency(), now)
     }
 
     /// Updates what changes by time alone.
@@ -251,14 +263,40 @@
         for (team, tasks) in self.reservations.expire(now) {
             self.usage.release(&team, tasks);
         }
-        self.queue.set_concurrency(self.concurrency());
+        self.estimate_concurrency();
     }
 
-    /// Returns how many tasks run or could run at once.
-    #[expect(clippy::cast_precision_loss, reason = "estimates need no exact count")]
+    /// Returns how many tasks probably run at once while enough wait.
     #[must_use]
     pub fn concurrency(&self) -> f64 {
-        self.workers.concurrency() as f64
+        self.concurrency.unwrap_or_else(|| self.slots())
+    }
+
+    /// Follows the tasks that run while others wait for a credit. Without waiting tasks all slots
+    /// count, as agents give credits by need.
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "an estimate needs no exact count"
+    )]
+    fn estimate_concurrency(&mut self) {
+        let saturated = !self.queue.is_empty() && !self.workers.any_ready();
+        let target = if saturated {
+            self.workers.concurrency() as f64
+        } else {
+            self.slots()
+        };
+        let current = self.concurrency();
+        let next = (current + (target - current) * CONCURRENCY_STEP).max(1.0);
+        self.concurrency = Some(next);
+        self.queue.set_concurrency(next);
+    }
+
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "an estimate needs no exact count"
+    )]
+    fn slots(&self) -> f64 {
+        self.workers.slots() as f64
     }
 
     fn succeeded(&mut self, id: WorkerId, task: &Outstanding, ended: &TaskEnded, now: Instant) {
@@ -279,6 +317,16 @@
         }
     }
 
+    /// Counts a stop as a failure of the worker if the task ran longer than most do, and the worker
+    /// ended nothing well in that time.
+    fn stopped(&mut self, id: WorkerId, task: &Outstanding, key: &JobKey, now: Instant) {
+        let ran = now.saturating_duration_since(task.since);
+        let long = self.runs.longest_of(LONG_RUN_OF);
+        if long.is_some_and(|long| ran > long) && self.workers.is_stuck_since(id, task.since) {
+            self.failed(id, key, now);
+        }
+    }
+
     fn failed(&mut self, id: WorkerId, key: &JobKey, now: Instant) {
         match self.blame.failed(key, id) {
             Verdict::Worker => {
--- a/crates/masticcross-entry/src/dispatch/sizes.rs
+++ b/crates/masticcross-entry/src/dispatch/sizes.rs
@@ -24,6 +24,15 @@
     updated: Option<Instant>,
 }
 
+/// Tasks of one team that arrive.
+#[derive(Debug, Default)]
+pub struct TeamArrivals {
+    /// All that the team submits.
+    pub offered: ArrivalRates,
+    /// What passed the check.
+    pub admitted: ArrivalRates,
+}
+
 impl ArrivalRates {
     /// Counts the tasks of a job.
     pub fn add(&mut self, tasks: u16, now: Instant) {
--- a/crates/masticcross-entry/src/dispatch/workers.rs
+++ b/crates/masticcross-entry/src/dispatch/workers.rs
@@ -49,6 +49,8 @@
     pub key: JobKey,
     /// Team that pays; none if the task was adopted from another owner.
     pub team: Option<Name>,
+    /// When it was sent, or adopted.
+    pub since: Instant,
 }
 
 /// A worker as this entry sees it.
@@ -68,6 +70,7 @@
     pending: u32,
     outstanding: FxHashMap<AttemptId, Outstanding>,
     speed: Speed,
+    last_success: Option<Instant>,
     next_trial: Option<(Instant, Duration)>,
     /// Standing after failures.
     pub health: Health,
@@ -125,12 +128,26 @@
         self.ids.get(name).copied()
     }
 
-    /// Returns how many tasks run or could run at once on workers in service.
+    /// Returns how many tasks run, or could with the credits given, on workers in service.
     #[must_use]
     pub fn concurrency(&self) -> u64 {
         self.concurrency
     }
 
+    /// Returns the slots of workers in service that are not taken out.
+    #[must_use]
+    pub fn slots(&self) -> u64 {
+        let in_service = self.by_id.values().filter(|w| self.in_service(w));
+        let healthy = in_service.filter(|w| !w.health.is_out());
+        healthy.map(|w| u64::from(w.slots)).sum()
+    }
+
+    /// Returns true if a worker has room.
+    #[must_use]
+    pub fn any_ready(&self) -> bool {
+        !self.ready.is_empty()
+    }
+
     /// Returns true if a connected worker in a zone in service has slots.
     #[must_use]
     pub fn any_in_service(&self) -> bool {
@@ -283,12 +300,20 @@
     pub fn observe(&mut self, id: WorkerId, run: Duration, service: &RunTimes, now: Instant) {
         self.change(id, now, |w| {
             w.speed.add(run, service);
+            w.last_success = Some(now);
             if w.speed.slowness() < SLOW {
                 w.next_trial = None;
             }
         });
     }
 
+    /// Returns true if a worker has ended no task well since a moment.
+    #[must_use]
+    pub fn is_stuck_since(&self, id: WorkerId, since: Instant) -> bool {
+        let worker = self.by_id.get(&id);
+        worker.is_some_and(|w| w.last_success.is_none_or(|at| at < since))
+    }
+
     /// Changes the standing of a worker.
     pub fn change_health(&mut self, id: WorkerId, now: Instant, change: impl FnOnce(&mut Health)) {
         self.change(id, now, |w| change(&mut w.health));
@@ -492,6 +517,7 @@
             pending: 0,
             outstanding: FxHashMap::default(),
             speed: Speed::default(),
+            last_success: None,
             next_trial: None,
             health: Health::new(now),
             last_used: 0,
--- a/crates/masticcross-standins/src/experiment/mod.rs
+++ b/crates/masticcross-standins/src/experiment/mod.rs
@@ -14,3 +14,6 @@
 pub use model::run;
 pub use report::Report;
 pub use setup::{Action, Behaviour, Setup};
+
+#[cfg(test)]
+mod tests;
--- a/crates/masticcross-standins/src/experiment/model.rs
+++ b/crates/masticcross-standins/src/experiment/model.rs
@@ -224,6 +224,9 @@
         self.after(Duration::from_secs_f64(wait), Event::Arrive);
         let job = self.draw_job();
         let request = self.request(&job);
+        if self.is_measured(job.arrived) {
+            self.report.offered_secs += job.work.as_secs_f64();
+        }
         if self.setup.check
             && let Err(refusal) = self.shard.check(&request, self.instant())
         {
@@ -437,6 +440,7 @@
 
     fn task_done(&mut self, id: usize, run: Duration) {
         let measured = self.is_measured(self.now);
+        let counted = self.is_measured(self.jobs[id].arrived);
         let job = &mut self.jobs[id];
         if measured {
             *self.report.work_by_team.entry(job.team).or_default() += run.as_secs_f64();
@@ -448,6 +452,9 @@
         job.ended = true;
         let response = self.now.saturating_sub(job.arrived);
         let ratio = response.as_secs_f64() / job.ideal.as_secs_f64();
+        if counted {
+            self.report.answered_secs += job.work.as_secs_f64();
+        }
         if measured {
             self.report.complete(Sample {
                 tasks: job.runs.len(),
--- a/crates/masticcross-standins/src/experiment/report.rs
+++ b/crates/masticcross-standins/src/experiment/report.rs
@@ -42,6 +42,10 @@
     pub refused_without_retry: u64,
     /// Run time of the tasks of complete jobs, in seconds.
     pub useful_secs: f64,
+    /// Work of the jobs that arrived, in seconds.
+    pub offered_secs: f64,
+    /// Work of those of them that were answered completely, in seconds.
+    pub answered_secs: f64,
     /// Time measured, in seconds.
     pub measured_secs: f64,
     /// Slots of all workers.
@@ -78,6 +82,8 @@
             refused: BTreeMap::new(),
             refused_without_retry: 0,
             useful_secs: 0.0,
+            offered_secs: 0.0,
+            answered_secs: 0.0,
             measured_secs: measured.as_secs_f64(),
             slots,
             starts: 0,
@@ -117,6 +123,12 @@
         self.useful_secs / self.measured_secs / self.slots
     }
 
+    /// Returns the share of the work that arrived which was answered completely.
+    #[must_use]
+    pub fn answered_share(&self) -> f64 {
+        self.answered_secs / self.offered_secs
+    }
+
     /// Returns the number of failed jobs.
     #[must_use]
     pub fn failures(&self) -> u64 {
