Pace admissions' appends with room for a burst

Cause: on an idle system most jobs waited for the distance between appends: the time line of 181 one-task jobs at 20 a second (log with 0 ms an append, machine loaded by builds) shows received to admitted 1.8 ms at p50 and 12.2 ms at p99, while placed to started takes 0.28 ms and ended to answered 0.23 ms. Change: the average of one append in 10 ms stays; after a pause up to 8 start without that distance. Conclusion: the pace still keeps the entry's share of the log's rate.

--- a/crates/masticcross-entry/src/admission/append.rs
+++ b/crates/masticcross-entry/src/admission/append.rs
@@ -7,6 +7,7 @@
 use masticcross_log::{LogError, Offset};
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
+use super::pace::Pace;
 use super::{Admissions, Item, Pending, Result};
 
 /// Pause after the log refused a call.
@@ -30,11 +31,11 @@
 
 impl Admissions {
     pub(super) async fn write_groups(&self) {
-        let mut earliest = Instant::now();
+        let mut pace = Pace::new(self.settings.min_interval, self.settings.burst);
         loop {
-            sleep_until(earliest).await;
+            sleep_until(pace.earliest()).await;
             self.wait_for_work().await;
-            earliest = Instant::now() + self.settings.min_interval;
+            pace.started(Instant::now());
             let group = self.take_group();
             let deadline = Instant::now() + self.settings.give_up_after;
             let batch = self.batch(&group);
--- a/crates/masticcross-entry/src/admission/mod.rs
+++ b/crates/masticcross-entry/src/admission/mod.rs
@@ -4,6 +4,7 @@
 //! stream twice, or although its job was refused: a record alone starts nothing.
 
 mod append;
+mod pace;
 mod read;
 
 #[cfg(test)]
@@ -27,8 +28,10 @@
 /// Pace and limits of the writer.
 #[derive(Debug, Clone)]
 pub struct AdmissionSettings {
-    /// Shortest time between the starts of two appends.
+    /// Time between the starts of two appends, on average.
     pub min_interval: Duration,
+    /// Appends that may start without that distance after a pause.
+    pub burst: u32,
     /// Most bytes in one append, about.
     pub max_batch_bytes: usize,
     /// Most jobs that wait for an append.
@@ -47,6 +50,7 @@
     fn default() -> Self {
         Self {
             min_interval: Duration::from_millis(10),
+            burst: 8,
             max_batch_bytes: 256 * 1024,
             max_queue: 32 * 1024,
             give_up_after: Duration::from_secs(1),
