Show the time line of all processes: text, JSON lines, picture

Cause: each process serves its own ring of events; nobody could read them together. Conclusion: a job's way can be read over all processes.

--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 pub mod load;
 pub mod publish;
 pub mod serve;
+pub mod timeline;
 
 use eyre::{Result, WrapErr};
 use masticcross_standins::load::LoadArgs;
@@ -23,6 +24,8 @@
     Drain(publish::ZoneArgs),
     /// Bring an availability zone back into service.
     Restore(publish::ZoneArgs),
+    /// Show the events of all processes in one order.
+    Timeline(timeline::Args),
 }
 
 impl Command {
@@ -38,6 +41,7 @@
             Self::Publish(args) => publish::execute(&args),
             Self::Drain(args) => publish::execute_zone(&args, false),
             Self::Restore(args) => publish::execute_zone(&args, true),
+            Self::Timeline(args) => timeline::execute(&args),
         }
     }
 }
--- /dev/null
+++ b/src/cmd/timeline.rs
@@ -0,0 +1,86 @@
+//! `masticcross timeline`: the events of all processes in one order.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use bpaf::{Parser, construct, long};
+use eyre::{Result, WrapErr};
+use masticcross_basics::timeline::Event;
+use masticcross_standins::http::client::Client;
+use masticcross_timeline::{Filter, filter, merge, picture, text};
+
+use super::{Command, runtime};
+
+/// Longest wait for the events of one process.
+const FETCH_LIMIT: Duration = Duration::from_secs(5);
+
+/// Arguments of the command.
+#[derive(Debug, Clone)]
+pub struct Args {
+    operators: Vec<SocketAddr>,
+    filter: Filter,
+    json: bool,
+    html: Option<PathBuf>,
+}
+
+/// Returns the parser of the command.
+pub fn command() -> impl Parser<Command> {
+    let operators = long("operators")
+        .help("IP and port of a process's operators' port, entry or agent; may be repeated")
+        .argument::<SocketAddr>("IP:PORT")
+        .some("name at least one --operators IP:PORT");
+    let filter = filter::filter();
+    let json = long("json").help("write JSON lines").switch();
+    let html = long("html")
+        .help("write a page with a picture to this file")
+        .argument::<PathBuf>("FILE")
+        .optional();
+    construct!(Args {
+        operators,
+        filter,
+        json,
+        html,
+    })
+    .to_options()
+    .descr("Show the events of all processes in one order")
+    .command("timeline")
+    .help("Show the events of all processes in one order")
+    .map(Command::Timeline)
+}
+
+/// Collects and shows the events. A process that does not answer is named on standard error.
+///
+/// # Errors
+/// Fails if the page cannot be written.
+pub fn execute(args: &Args) -> Result<()> {
+    let rings = runtime()?.block_on(collect(&args.operators));
+    let mut events = merge(rings);
+    events.retain(|event| args.filter.keeps(event));
+    if let Some(file) = &args.html {
+        let page = picture::page("Time line", &events);
+        return std::fs::write(file, page)
+            .wrap_err_with(|| format!("cannot write {}", file.display()));
+    }
+    for event in &events {
+        if args.json {
+            println!("{}", text::json_line(event));
+        } else {
+            println!("{}", text::line(event));
+        }
+    }
+    Ok(())
+}
+
+async fn collect(operators: &[SocketAddr]) -> Vec<Vec<Event>> {
+    let client = Client::new(1);
+    let mut rings = Vec::new();
+    for addr in operators {
+        let uri = format!("http://{addr}/v1/timeline");
+        match client.get_json(&uri, FETCH_LIMIT).await {
+            Ok(ring) => rings.push(ring),
+            Err(error) => eprintln!("no events from {addr}: {error}"),
+        }
+    }
+    rings
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -45,5 +45,6 @@
     let publish = cmd::publish::publish_command();
     let drain = cmd::publish::drain_command();
     let restore = cmd::publish::restore_command();
-    construct!([serve, demo, load, publish, drain, restore])
+    let timeline = cmd::timeline::command();
+    construct!([serve, demo, load, publish, drain, restore, timeline])
 }
