Show an example of each refusal in the load report

Cause: a code alone does not say why a job was refused. Change: the report has the sentence of the first answer of each code.

--- a/crates/masticcross-standins/src/load/caller.rs
+++ b/crates/masticcross-standins/src/load/caller.rs
@@ -40,6 +40,8 @@
         code: u16,
         /// Whether it says that nothing of the request ran.
         not_run: bool,
+        /// Its sentence for people.
+        detail: String,
     },
     /// Neither results nor a problem document.
     Malformed {
@@ -108,6 +110,8 @@
 struct ProblemDocument {
     code: u16,
     not_run: bool,
+    #[serde(default)]
+    detail: String,
 }
 
 impl Caller {
@@ -179,6 +183,7 @@
         Ok(problem) => Answer::Refused {
             code: problem.code,
             not_run: problem.not_run,
+            detail: problem.detail,
         },
         Err(_) => malformed(response.status),
     }
--- a/crates/masticcross-standins/src/load/report.rs
+++ b/crates/masticcross-standins/src/load/report.rs
@@ -19,6 +19,9 @@
 /// Digits kept of recorded values.
 const DIGITS: u8 = 3;
 
+/// Longest example of a refusal, in characters.
+const MAX_EXAMPLE_CHARS: usize = 200;
+
 /// Values in thousandths of their unit.
 const THOUSANDTHS: f64 = 1000.0;
 
@@ -50,6 +53,8 @@
     pub not_run: bool,
     /// Number of answers.
     pub count: u64,
+    /// Sentence of the first of them.
+    pub example: String,
 }
 
 /// What callers saw in one run.
@@ -117,6 +122,13 @@
     }
 }
 
+/// Answers with one code while they are counted.
+#[derive(Debug, Default)]
+struct Refusals {
+    count: u64,
+    example: String,
+}
+
 /// Collects the figures of a run.
 #[derive(Debug)]
 pub struct Recorder {
@@ -124,7 +136,7 @@
     work: Duration,
     over_ideal: Histogram<u64>,
     beyond_ideal: Histogram<u64>,
-    refused: BTreeMap<(u16, bool), u64>,
+    refused: BTreeMap<(u16, bool), Refusals>,
     completed_jobs: u64,
     completed_tasks: u64,
 }
@@ -166,16 +178,26 @@
         report.broken_connections += u64::from(answered.losses.broken);
         report.retried += u64::from(answered.losses.total() > 0);
         report.differing += u64::from(!agrees);
-        match answered.answer {
+        match &answered.answer {
             Answer::Complete { .. } => self.completed(submission, answered.elapsed),
             Answer::Partial => report.partial += 1,
             Answer::WrongValue => report.wrong_values += 1,
             Answer::Malformed { .. } => report.malformed += 1,
             Answer::None => report.unanswered += 1,
-            Answer::Refused { code, not_run } => {
-                *self.refused.entry((code, not_run)).or_default() += 1;
-            }
+            Answer::Refused {
+                code,
+                not_run,
+                detail,
+            } => self.refused(*code, *not_run, detail),
+        }
+    }
+
+    fn refused(&mut self, code: u16, not_run: bool, detail: &str) {
+        let refusals = self.refused.entry((code, not_run)).or_default();
+        if refusals.count == 0 {
+            refusals.example = detail.chars().take(MAX_EXAMPLE_CHARS).collect();
         }
+        refusals.count += 1;
     }
 
     /// Notes submissions that were given up at the end of the run.
@@ -222,11 +244,12 @@
             over_ideal: percentiles(&self.over_ideal),
             beyond_ideal_ms: percentiles(&self.beyond_ideal),
             refused: refused
-                .map(|((code, not_run), count)| Refused {
+                .map(|((code, not_run), refusals)| Refused {
                     code,
                     title: Code::try_from(code).map_or("unknown code", Code::title),
                     not_run,
-                    count,
+                    count: refusals.count,
+                    example: refusals.example,
                 })
                 .collect(),
             starts,
--- a/crates/masticcross-standins/src/load/report/table.rs
+++ b/crates/masticcross-standins/src/load/report/table.rs
@@ -53,6 +53,9 @@
                 "  {:<26} {:>10} {}{not_run}",
                 refused.code, refused.count, refused.title
             )?;
+            if !refused.example.is_empty() {
+                writeln!(f, "    such as: {}", refused.example)?;
+            }
         }
         Ok(())
     }
--- a/crates/masticcross-standins/src/load/tests.rs
+++ b/crates/masticcross-standins/src/load/tests.rs
@@ -63,6 +63,7 @@
     Answer::Refused {
         code: 2001,
         not_run,
+        detail: "busy".to_owned(),
     }
 }
 
@@ -206,9 +207,9 @@
     answer_without_value: 200, json!({"results": [{"value": 10}, null]}) => Answer::WrongValue,
     answer_without_results: 200, json!({}) => Answer::Malformed { status: 200 },
     refusal: 503, json!({"code": 2001, "not_run": true, "detail": ""})
-        => Answer::Refused { code: 2001, not_run: true },
+        => Answer::Refused { code: 2001, not_run: true, .. },
     failure: 502, json!({"code": 3001, "not_run": false})
-        => Answer::Refused { code: 3001, not_run: false },
+        => Answer::Refused { code: 3001, not_run: false, .. },
     problem_without_not_run: 503, json!({"code": 2001}) => Answer::Malformed { status: 503 },
 }
 
@@ -261,6 +262,7 @@
         .map(|r| (r.not_run, r.count))
         .collect();
     assert_eq!(counts, [(false, 1), (true, 2)]);
+    assert_eq!(report.refused[0].example, "busy");
     assert_close(report.jobs_per_second, 0.25);
     assert_close(report.tasks_per_second, 0.5);
     assert_close(report.offered_slots, 0.105);
