--- a/crates/masticcross-agent/tests/support/mod.rs
+++ b/crates/masticcross-agent/tests/support/mod.rs
@@ -1,5 +1,7 @@
 //! An entry in memory and a backend server in memory, for tests of a whole agent.
 
+#![allow(dead_code, reason = "each test program uses a part")]
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -82,36 +84,42 @@
     }
 }
 
-/// An agent with the test in the place of its entries and its backend server.
+/// An agent with the test in the place of its entries.
 pub struct Rig {
     /// The agent.
     pub agent: Arc<Agent>,
-    /// The backend server.
+    /// The backend server in memory, if that is the one that the agent has.
     pub backend: Arc<MemoryBackend>,
     links: mpsc::UnboundedReceiver<Link>,
 }
 
 impl Rig {
-    /// Starts an agent with one announced backend server of 4 slots.
+    /// Starts an agent with one announced backend server of 4 slots in memory.
     pub fn start(run_time: Duration) -> Self {
-        let (tx, links) = mpsc::unbounded_channel();
         let backend = Arc::new(MemoryBackend {
             run_time,
             ..MemoryBackend::default()
         });
+        let client = Arc::new(SharedBackend(backend.clone()));
+        let rig = Self {
+            backend,
+            ..Self::with_client(client)
+        };
+        rig.agent.announce(announcement());
+        rig
+    }
+
+    /// Starts an agent that reaches its backend servers by a client.
+    pub fn with_client(client: Arc<dyn BackendClient>) -> Self {
+        let (tx, links) = mpsc::unbounded_channel();
         let settings = Settings::new("w1".into(), "z1".into(), vec![entry_addr()], 1);
-        let agent = Agent::new(
-            settings,
-            Arc::new(MemoryDialer(tx)),
-            Arc::new(SharedBackend(backend.clone())),
-            Timeline::new("w1".into(), 1_000),
-        )
-        .expect("metrics register");
+        let timeline = Timeline::new("w1".into(), 1_000);
+        let agent = Agent::new(settings, Arc::new(MemoryDialer(tx)), client, timeline)
+            .expect("metrics register");
         tokio::spawn(agent.clone().run());
-        agent.announce(announcement());
         Self {
             agent,
-            backend,
+            backend: Arc::default(),
             links,
         }
     }
