--- a/crates/masticcross-entry/src/peers/mod.rs
+++ b/crates/masticcross-entry/src/peers/mod.rs
@@ -20,7 +20,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use masticcross_basics::timeline::Timeline;
+use masticcross_basics::timeline::{Event, EventKind, Timeline};
 use masticcross_basics::{Code, Name, Partition};
 use masticcross_ledger::{Agreement, PartitionsChange};
 use masticcross_wire::{
@@ -121,7 +121,12 @@
         submit.id = waiting.id();
         submit.after = session.sent_after();
         submit.stamp = self.timeline.stamp();
+        let forwarded = Event::new(EventKind::Forwarded)
+            .job(&submit.request.key)
+            .partition(submit.request.partition())
+            .detail(format!("to entry {}", to.name));
         session.send(Frame::Submit(submit))?;
+        self.timeline.record(forwarded);
         waiting.answer().await
     }
 
