--- a/crates/masticcross-entry/src/owner/mod.rs
+++ b/crates/masticcross-entry/src/owner/mod.rs
@@ -46,6 +46,7 @@
 use handover::Incoming;
 use job::Contact;
 use memory::AnswerMemory;
+use settings::Rules;
 pub use settings::{OwnerChecks, OwnerSettings};
 use shard::{Phase, Shard};
 use submit::{Verdict, check_request};
@@ -102,6 +103,10 @@
     phases: watch::Sender<u64>,
     timers_changed: Notify,
     next_wake: Mutex<Option<Instant>>,
+    /// Rules of the configuration version that stands with them.
+    rules: RwLock<Option<(u64, Arc<Rules>)>>,
+    /// Jobs in all tables, counted anew from time to time.
+    known_jobs: AtomicU64,
 }
 
 impl Owner {
@@ -143,6 +148,8 @@
             phases: watch::Sender::new(0),
             timers_changed: Notify::new(),
             next_wake: Mutex::default(),
+            rules: RwLock::default(),
+            known_jobs: AtomicU64::new(0),
         })
     }
 
@@ -311,7 +318,7 @@
         let document = state.config.document.as_deref();
         check_request(request, document)?;
         let max_jobs = settings::limits(document).max_jobs;
-        if self.known_jobs() >= u64::from(max_jobs) {
+        if self.known_jobs.load(Ordering::Relaxed) >= u64::from(max_jobs) {
             let refusal = Refusal::not_run(Code::TableFull, "table of jobs is full");
             return Err(refusal.retry_after_ms(1_000));
         }
--- a/crates/masticcross-entry/src/owner/shell.rs
+++ b/crates/masticcross-entry/src/owner/shell.rs
@@ -1,7 +1,7 @@
 //! Carries out what the tables decide.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use masticcross_basics::{Code, Digest, Epoch, JobKey, Partition};
@@ -40,10 +40,19 @@
         result
     }
 
-    /// Works out the rules in force.
-    pub(super) fn rules(&self) -> Rules {
+    /// Returns the rules in force.
+    pub(super) fn rules(&self) -> Arc<Rules> {
         let state = self.agreement.state();
-        Rules::new(state.config.document.as_deref(), &self.settings)
+        let version = state.config.version;
+        if let Some((known, rules)) = &*self.rules.read()
+            && *known == version
+        {
+            return rules.clone();
+        }
+        let document = state.config.document.as_deref();
+        let rules = Arc::new(Rules::new(document, &self.settings));
+        *self.rules.write() = Some((version, rules.clone()));
+        rules
     }
 
     /// Returns true while this entry may say "not run" and admit jobs.
@@ -51,13 +60,10 @@
         !self.settings.checks.freshness || self.agreement.is_fresh()
     }
 
-    /// Returns the number of jobs in all tables.
-    pub(super) fn known_jobs(&self) -> u64 {
-        let total = AtomicU64::new(0);
-        for shard in &self.shards {
-            total.fetch_add(shard.lock().len() as u64, Ordering::Relaxed);
-        }
-        total.into_inner()
+    /// Counts the jobs in all tables.
+    fn count_jobs(&self) {
+        let lens = self.shards.iter().map(|shard| shard.lock().len() as u64);
+        self.known_jobs.store(lens.sum(), Ordering::Relaxed);
     }
 
     /// Enters a new job and starts its admission, which goes on when the caller is gone.
@@ -69,6 +75,7 @@
         cx: &mut Cx<'_>,
     ) -> Verdict {
         let view = self.agreement.state().version.partitions;
+        self.known_jobs.fetch_add(1, Ordering::Relaxed);
         let (record, receiver) = shard.enter(request.clone(), digest, view, cx);
         if let Some(me) = self.me.upgrade() {
             tokio::spawn(me.admit(record));
@@ -247,6 +254,7 @@
             if now >= sweep_at {
                 sweep_at = now + SWEEP_INTERVAL;
                 self.forget_answers(now);
+                self.count_jobs();
             }
             *self.next_wake.lock() = None;
             for partition in Partition::all() {
