--- a/crates/masticcross-entry/tests/schedules.rs
+++ b/crates/masticcross-entry/tests/schedules.rs
@@ -2,10 +2,12 @@
 
 mod support;
 
+use std::collections::BTreeMap;
+
 use support::node::EntrySettings;
 use support::observer::Counts;
 use support::on_paused_clock;
-use support::schedule::{Fault, Schedule, Step, run};
+use support::schedule::{Fault, Outcome, Schedule, Step, run};
 
 /// Schedules without `MASTICCROSS_SCHEDULES`.
 const SCHEDULES: u64 = 1_000;
@@ -13,13 +15,14 @@
 /// Seed from which the first schedule comes.
 const FIRST_SEED: u64 = 1;
 
-/// What a schedule came to.
-fn outcome(schedule: &Schedule, settings: &EntrySettings) -> Result<Counts, String> {
-    let (broken, counts, timeline) = on_paused_clock(run(schedule, settings.clone()));
-    if broken.is_empty() {
-        return Ok(counts);
+/// Runs a schedule. A broken promise is an error with the time line.
+fn outcome(schedule: &Schedule, settings: &EntrySettings) -> Result<Outcome, String> {
+    let outcome = on_paused_clock(run(schedule, settings.clone()));
+    if outcome.broken.is_empty() {
+        return Ok(outcome);
     }
-    Err(format!("{schedule:?}\n{}\n{timeline}", broken.join("\n")))
+    let (broken, timeline) = (outcome.broken.join("\n"), outcome.timeline);
+    Err(format!("{schedule:?}\n{broken}\n{timeline}"))
 }
 
 fn count() -> u64 {
@@ -34,7 +37,7 @@
 fn run_all(
     seeds: std::ops::Range<u64>,
     settings: &EntrySettings,
-) -> Vec<(u64, Result<Counts, String>)> {
+) -> Vec<(u64, Result<Outcome, String>)> {
     let threads = std::thread::available_parallelism().map_or(1, |n| (n.get() / 2).max(1));
     std::thread::scope(|scope| {
         let workers: Vec<_> = (0..threads)
@@ -57,11 +60,19 @@
         .iter()
         .filter_map(|(seed, result)| result.as_ref().err().map(|text| (seed, text)))
         .collect();
-    let total = results
+    let mut total = Counts::default();
+    let mut codes: BTreeMap<_, usize> = BTreeMap::new();
+    for outcome in results
         .iter()
         .filter_map(|(_, result)| result.as_ref().ok())
-        .fold(Counts::default(), |sum, counts| sum + *counts);
+    {
+        total = total + outcome.counts;
+        for (code, count) in &outcome.codes {
+            *codes.entry(*code).or_default() += count;
+        }
+    }
     println!("{count} schedules, {} failed; {total:?}", failures.len());
+    println!("refusals and failures by code and \"not run\": {codes:?}");
     let seeds: Vec<_> = failures.iter().map(|(seed, _)| seed).collect();
     assert!(
         failures.is_empty(),
--- a/crates/masticcross-entry/tests/support/observer.rs
+++ b/crates/masticcross-entry/tests/support/observer.rs
@@ -229,6 +229,18 @@
         counts
     }
 
+    /// Counts the refusals and failures by code, and by whether they say "not run".
+    pub fn codes(&self) -> BTreeMap<(Code, bool), usize> {
+        let inner = self.inner.lock();
+        let mut codes = BTreeMap::new();
+        for submission in &inner.submissions {
+            if let Some((_, JobAnswer::Refused(refusal))) = &submission.end {
+                *codes.entry((refusal.code, refusal.not_run)).or_default() += 1;
+            }
+        }
+        codes
+    }
+
     /// Returns the events of the run as text.
     pub fn timeline(&self) -> String {
         let inner = self.inner.lock();
--- a/crates/masticcross-entry/tests/support/schedule.rs
+++ b/crates/masticcross-entry/tests/support/schedule.rs
@@ -1,7 +1,9 @@
 //! Seeded schedules of faults: two at a time, and the same one twice.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
+use masticcross_basics::Code;
 use masticcross_standins::log::{ClientFaults, Occurrence};
 use quickcheck::{Arbitrary, Gen};
 use rand::rngs::SmallRng;
@@ -155,8 +157,17 @@
     Submit(usize),
 }
 
-/// Runs a schedule and returns the broken promises, the counts and the time line.
-pub async fn run(schedule: &Schedule, settings: EntrySettings) -> (Vec<String>, Counts, String) {
+/// What a schedule came to.
+#[derive(Debug)]
+pub struct Outcome {
+    pub broken: Vec<String>,
+    pub counts: Counts,
+    pub codes: BTreeMap<(Code, bool), usize>,
+    pub timeline: String,
+}
+
+/// Runs a schedule.
+pub async fn run(schedule: &Schedule, settings: EntrySettings) -> Outcome {
     let mut cluster = Cluster::start(ENTRIES, AGENTS, settings).await;
     cluster.ready().await;
     let mut rng = SmallRng::seed_from_u64(schedule.seed ^ 0x10ad);
@@ -185,7 +196,12 @@
     cluster.callers_done().await;
     cluster.observe_versions();
     let observer = &cluster.observer;
-    (observer.broken(), observer.counts(), observer.timeline())
+    Outcome {
+        broken: observer.broken(),
+        counts: observer.counts(),
+        codes: observer.codes(),
+        timeline: observer.timeline(),
+    }
 }
 
 fn actions(schedule: &Schedule, rng: &mut SmallRng) -> Vec<(u64, Action)> {
