--- /dev/null
+++ b/crates/masticcross-config/src/check.rs
@@ -0,0 +1,217 @@
+//! The validator: all faults of a document at once, with path, line, reason and what is accepted.
+
+mod shape;
+
+use serde::Serialize;
+
+use crate::document::{Document, Times};
+
+/// Heartbeats that may be lost before a process counts as lost or a view grows old.
+const HEARTBEATS_SPARE: u32 = 3;
+
+/// Aim for the time from the loss of an entry to the next owner, in milliseconds.
+const TAKEOVER_AIM_MS: u32 = 5_000;
+
+/// How grave a finding is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Severity {
+    /// The document is not accepted.
+    Error,
+    /// The document is accepted; operators should look.
+    Warning,
+}
+
+/// One finding.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Finding {
+    /// How grave it is.
+    pub severity: Severity,
+    /// Keys from the top of the document, joined by dots.
+    pub path: String,
+    /// Line in the text, from 1; none if the finding is about something that is not there.
+    pub line: Option<usize>,
+    /// What is wrong.
+    pub reason: String,
+    /// What is accepted; empty if the reason says it.
+    pub accepted: String,
+}
+
+impl std::fmt::Display for Finding {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        if let Some(line) = self.line {
+            write!(f, "line {line}: ")?;
+        }
+        write!(f, "{}: {}", self.path, self.reason)?;
+        if !self.accepted.is_empty() {
+            write!(f, "; accepted: {}", self.accepted)?;
+        }
+        Ok(())
+    }
+}
+
+/// What the validator found.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Report {
+    /// The document, if it has no error.
+    pub document: Option<Document>,
+    /// Errors first, then warnings, each in the order of the text.
+    pub findings: Vec<Finding>,
+}
+
+impl Report {
+    /// Returns the errors.
+    pub fn errors(&self) -> impl Iterator<Item = &Finding> {
+        self.of(Severity::Error)
+    }
+
+    /// Returns the warnings.
+    pub fn warnings(&self) -> impl Iterator<Item = &Finding> {
+        self.of(Severity::Warning)
+    }
+
+    fn of(&self, severity: Severity) -> impl Iterator<Item = &Finding> {
+        self.findings.iter().filter(move |f| f.severity == severity)
+    }
+}
+
+/// Checks a document's text.
+#[must_use]
+pub fn check(text: &str) -> Report {
+    let shape = shape::check(text);
+    if !shape.is_empty() {
+        return refused(shape);
+    }
+    let document: Document = match toml::from_str(text) {
+        Ok(document) => document,
+        Err(error) => return refused(vec![whole(error.message().to_owned())]),
+    };
+    let mut findings = relations(&document);
+    if !findings.is_empty() {
+        return refused(findings);
+    }
+    findings.extend(risks(&document));
+    Report {
+        document: Some(document),
+        findings,
+    }
+}
+
+fn refused(findings: Vec<Finding>) -> Report {
+    Report {
+        document: None,
+        findings,
+    }
+}
+
+fn whole(reason: String) -> Finding {
+    Finding {
+        severity: Severity::Error,
+        path: "document".to_owned(),
+        line: None,
+        reason,
+        accepted: String::new(),
+    }
+}
+
+fn error(path: &str, reason: String, accepted: String) -> Finding {
+    Finding {
+        severity: Severity::Error,
+        path: path.to_owned(),
+        line: None,
+        reason,
+        accepted,
+    }
+}
+
+fn warning(path: &str, reason: String) -> Finding {
+    Finding {
+        severity: Severity::Warning,
+        path: path.to_owned(),
+        line: None,
+        reason,
+        accepted: String::new(),
+    }
+}
+
+/// Checks values against each other.
+fn relations(doc: &Document) -> Vec<Finding> {
+    let mut findings = Vec::new();
+    for (name, service) in &doc.services {
+        if service.default_deadline_ms > service.max_deadline_ms {
+            findings.push(error(
+                &format!("services.{name}.default_deadline_ms"),
+                format!(
+                    "{} is over the longest deadline",
+                    service.default_deadline_ms
+                ),
+                format!("at most max_deadline_ms, {}", service.max_deadline_ms),
+            ));
+        }
+        if doc.times.once_window_ms < service.max_deadline_ms {
+            findings.push(error(
+                "times.once_window_ms",
+                format!("{} is under a deadline of {name}", doc.times.once_window_ms),
+                format!("at least its max_deadline_ms, {}", service.max_deadline_ms),
+            ));
+        }
+    }
+    findings.extend(time_relations(&doc.times));
+    findings
+}
+
+fn time_relations(times: &Times) -> Vec<Finding> {
+    let spare = times.heartbeat_ms * HEARTBEATS_SPARE;
+    let rules = [
+        ("times.suspect_after_ms", times.suspect_after_ms),
+        ("times.freshness_ms", times.freshness_ms),
+    ];
+    let broken = rules.iter().filter(|(_, value)| *value < spare);
+    broken
+        .map(|(path, value)| {
+            error(
+                path,
+                format!("{value} leaves no room for a lost heartbeat"),
+                format!("at least {HEARTBEATS_SPARE} times heartbeat_ms, {spare}"),
+            )
+        })
+        .collect()
+}
+
+/// Looks for values that are accepted and risky.
+fn risks(doc: &Document) -> Vec<Finding> {
+    let mut findings = Vec::new();
+    let in_service = doc.zones.values().filter(|zone| zone.in_service).count();
+    match in_service {
+        0 => findings.push(warning(
+            "zones",
+            "no zone is in service, so no task will start".to_owned(),
+        )),
+        1 if doc.zones.len() > 1 => {
+            findings.push(warning("zones", "only one zone is in service".to_owned()));
+        }
+        _ => {}
+    }
+    for (name, service) in &doc.services {
+        let quotas: Option<u64> = doc
+            .teams
+            .values()
+            .map(|team| team.max_tasks.map(u64::from))
+            .sum();
+        let waiting = u64::from(service.max_waiting_tasks);
+        if quotas.is_some_and(|sum| sum < waiting) {
+            findings.push(warning(
+                &format!("services.{name}.max_waiting_tasks"),
+                "is over the sum of all quotas and cannot be reached".to_owned(),
+            ));
+        }
+    }
+    let takeover = doc.times.suspect_after_ms + doc.times.freshness_ms;
+    if takeover > TAKEOVER_AIM_MS {
+        findings.push(warning(
+            "times",
+            format!("the loss of an entry holds its jobs up for {takeover} ms or more"),
+        ));
+    }
+    findings
+}
