--- a/crates/masticcross-agent/src/core/queue.rs
+++ b/crates/masticcross-agent/src/core/queue.rs
@@ -6,6 +6,8 @@
 use masticcross_wire::Json;
 use tokio::time::Instant;
 
+use super::view::StartTerms;
+
 /// A task that waits for a place.
 #[derive(Debug, Clone)]
 pub struct QueuedTask {
@@ -27,6 +29,18 @@
     pub registered_at: u64,
 }
 
+impl QueuedTask {
+    /// Returns under what the task was sent here.
+    #[must_use]
+    pub fn terms(&self) -> StartTerms {
+        StartTerms {
+            partition: self.partition,
+            epoch: self.epoch,
+            registered_at: self.registered_at,
+        }
+    }
+}
+
 /// Queues by service.
 #[derive(Debug, Default)]
 pub struct Queue {
--- a/crates/masticcross-agent/src/core/starts.rs
+++ b/crates/masticcross-agent/src/core/starts.rs
@@ -207,14 +207,10 @@
         if now >= task.deadline {
             return Err(NotStartedReason::DeadlinePassed);
         }
-        if task.registered_at != self.view.registered_at() {
-            return Err(NotStartedReason::ViewStale);
-        }
         if task.epoch < state.fence(task.partition) {
             return Err(NotStartedReason::OldEpoch);
         }
-        self.view
-            .check(now, &self.identity.zone, task.partition, task.epoch)
+        self.view.check(now, &self.identity.zone, task.terms())
     }
 
     /// Starts waiting tasks while places are free, then grants what is left.
--- a/crates/masticcross-agent/src/core/tests.rs
+++ b/crates/masticcross-agent/src/core/tests.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use masticcross_basics::timeline::{Stamp, Timeline};
-use masticcross_basics::{AttemptId, Epoch, JobKey, Name, PARTITIONS, Partition};
+use masticcross_basics::{AttemptId, Epoch, JobKey, Name, PARTITIONS};
 use masticcross_wire::{
     AgentView, AttemptState, Frame, Gather, Gathered, Json, Member, NotStartedReason,
     PartitionOwner, StartTasks, StopTasks, TaskEnded, TaskOutcome, TaskStart, ViewVersion,
@@ -13,6 +13,7 @@
 
 use super::sessions::Outlet;
 use super::starts::Run;
+use super::view::ViewKeeper;
 use super::{AgentCore, SessionId};
 use crate::backend::RunOutcome;
 use crate::metrics::Metrics;
@@ -195,6 +196,13 @@
     view
 }
 
+fn view_of_a_new_registration() -> AgentView {
+    let mut view = view();
+    view.version.partitions += 2;
+    view.registered_at += 2;
+    view
+}
+
 fn key(job: &str) -> JobKey {
     JobKey::new(SERVICE, job).expect("valid names")
 }
@@ -262,6 +270,7 @@
     view_grew_old: |rig| rig.now += FRESHNESS => ViewStale;
     zone_went_out: |rig| rig.offer(view_without_zone()) => ZoneOut;
     agent_was_replaced: |rig| rig.offer(view_without_agent()) => ViewStale;
+    agent_was_registered_again: |rig| rig.offer(view_of_a_new_registration()) => ViewStale;
     owner_changed_in_the_view: |rig| rig.offer(view_of_e2(2)) => OldEpoch;
     new_owner_gathered: |rig| rig.gather(2, "job", 2) => OldEpoch;
     deadline_passed: |rig| {
@@ -318,10 +327,11 @@
 
 #[test]
 fn without_any_view_nothing_starts() {
-    let rig = Rig::new();
-    let fresh = super::view::ViewKeeper::default();
-    let checked = fresh.check(rig.now, &"z1".into(), Partition(0), Epoch(1));
-    assert_eq!(checked, Err(NotStartedReason::ViewStale));
+    let mut rig = Rig::new();
+    rig.core.view = ViewKeeper::default();
+    assert!(rig.start(&start("job", 1, 1, 1)).is_empty());
+    let stale = TaskOutcome::NotStarted(NotStartedReason::ViewStale);
+    assert_eq!(rig.outcomes(1), [stale]);
 }
 
 #[test]
--- a/crates/masticcross-agent/src/core/view/mod.rs
+++ b/crates/masticcross-agent/src/core/view/mod.rs
@@ -26,6 +26,17 @@
     as_of: Option<Instant>,
 }
 
+/// Under what a task was sent here.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StartTerms {
+    /// Partition of the job.
+    pub partition: Partition,
+    /// Epoch of the entry that sent it.
+    pub epoch: Epoch,
+    /// Registration of this agent when the task arrived.
+    pub registered_at: u64,
+}
+
 /// The change that an offered view made.
 #[derive(Debug, Clone)]
 pub struct ViewChange {
@@ -85,26 +96,20 @@
         self.inner.read().fresh_view(now).is_some()
     }
 
-    /// Checks that a start under an epoch of a partition is allowed in a zone.
+    /// Checks that a start is allowed in a zone.
     ///
     /// # Errors
     /// Says why the task must not start.
-    pub fn check(
-        &self,
-        now: Instant,
-        zone: &Name,
-        partition: Partition,
-        epoch: Epoch,
-    ) -> Result<()> {
+    pub fn check(&self, now: Instant, zone: &Name, terms: StartTerms) -> Result<()> {
         let inner = self.inner.read();
         let view = inner.fresh_view(now).ok_or(NotStartedReason::ViewStale)?;
-        if !view.registered {
+        if !view.registered || view.registered_at != terms.registered_at {
             return Err(NotStartedReason::ViewStale);
         }
         if view.zones_out.contains(zone) {
             return Err(NotStartedReason::ZoneOut);
         }
-        if epoch < epoch_of(view, partition) {
+        if terms.epoch < epoch_of(view, terms.partition) {
             return Err(NotStartedReason::OldEpoch);
         }
         Ok(())
--- a/crates/masticcross-agent/src/core/view/tests.rs
+++ b/crates/masticcross-agent/src/core/view/tests.rs
@@ -6,7 +6,7 @@
 use masticcross_wire::{AgentView, NotStartedReason, PartitionOwner, ViewVersion};
 use tokio::time::Instant;
 
-use super::ViewKeeper;
+use super::{StartTerms, ViewKeeper};
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -27,7 +27,12 @@
 }
 
 fn check(keeper: &ViewKeeper, now: Instant) -> super::Result<()> {
-    keeper.check(now, &"z1".into(), Partition(0), Epoch(9))
+    let terms = StartTerms {
+        partition: Partition(0),
+        epoch: Epoch(9),
+        registered_at: 1,
+    };
+    keeper.check(now, &"z1".into(), terms)
 }
 
 #[test]
