End a silent session before what waited in it is handled

Cause: after a pause of the process a frame could be handled before the heartbeat's timer closed the session. Change: the silence is looked at before each frame as well; a test of a silent entry. Conclusion: what an entry sent before a pause is not started after it.

--- a/crates/masticcross-agent/src/session.rs
+++ b/crates/masticcross-agent/src/session.rs
@@ -146,12 +146,14 @@
                 biased;
                 code = closed(&mut self.close) => return code,
                 _ = beats.tick() => {
-                    if self.silence() > self.agent.settings.suspect_after {
+                    if self.was_silent() {
                         return Code::SessionTimeout;
                     }
                     self.ping();
                 }
                 frame = self.link.rx.recv() => match frame {
+                    // What waited while this process was paused may be out of date.
+                    _ if self.was_silent() => return Code::SessionTimeout,
                     Some(Frame::Goodbye(goodbye)) => return goodbye.code,
                     Some(frame) => self.handle(frame),
                     None => return Code::SessionTimeout,
@@ -160,8 +162,10 @@
         }
     }
 
-    fn silence(&self) -> Duration {
-        Instant::now().saturating_duration_since(self.heard_at)
+    /// Returns true if nothing came for so long that the other process counts as lost.
+    fn was_silent(&self) -> bool {
+        let silence = Instant::now().saturating_duration_since(self.heard_at);
+        silence > self.agent.settings.suspect_after
     }
 
     fn ping(&mut self) {
--- a/crates/masticcross-agent/tests/agent.rs
+++ b/crates/masticcross-agent/tests/agent.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use masticcross_basics::Code;
 use masticcross_wire::{Frame, NotStartedReason, TaskOutcome};
 use support::{Rig, start};
 use tokio::time::sleep;
@@ -84,3 +85,17 @@
     closing.await.expect("the stop ends");
     assert!(rig.no_dial(), "an agent that left does not come back");
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_silent_entry_loses_its_session_and_what_it_sent_late() {
+    let mut rig = Rig::start(RUN_TIME);
+    let mut entry = rig.accept().await;
+    entry.beat().await;
+    sleep(Duration::from_millis(1_600)).await;
+    let late = entry.try_send(Frame::Start(start("job", 1, 1)));
+    assert!(!late, "the session is closed");
+    assert_eq!(entry.goodbye().await, Some(Code::SessionTimeout));
+    let mut entry = rig.accept().await;
+    entry.beat().await;
+    assert!(rig.backend.started.lock().is_empty());
+}
--- a/crates/masticcross-agent/tests/support/mod.rs
+++ b/crates/masticcross-agent/tests/support/mod.rs
@@ -11,7 +11,7 @@
     Agent, Announcement, BackendClient, RunOutcome, Settings, StartGate, TaskBody,
 };
 use masticcross_basics::timeline::{Stamp, Timeline};
-use masticcross_basics::{AttemptId, Epoch, JobKey, Name, PARTITIONS};
+use masticcross_basics::{AttemptId, Code, Epoch, JobKey, Name, PARTITIONS};
 use masticcross_wire::{
     AgentView, Dialer, Frame, Hello, Link, Member, PROTOCOL_VERSION, PartitionOwner, Ping, Pong,
     Role, StartTasks, TaskEnded, TaskStart, ViewVersion, link,
@@ -166,6 +166,22 @@
         self.link.tx.try_send(frame).expect("the session is open");
     }
 
+    /// Sends a frame, or returns false if the session is closed.
+    pub fn try_send(&self, frame: Frame) -> bool {
+        self.link.tx.try_send(frame).is_ok()
+    }
+
+    /// Reads the session to its end without an answer, and returns the code of its close.
+    pub async fn goodbye(&mut self) -> Option<Code> {
+        let mut code = None;
+        while let Some(frame) = self.link.rx.recv().await {
+            if let Frame::Goodbye(goodbye) = frame {
+                code = Some(goodbye.code);
+            }
+        }
+        code
+    }
+
     /// Waits for a frame that fits and drops the others. Heartbeats are answered meanwhile.
     pub async fn next(&mut self, fits: impl Fn(&Frame) -> bool) -> Frame {
         let wait = async {
