Begin another read while the one before has no reply

Cause: with one read at a time a log that answers in 1 s or more makes the view older than the freshness time, and all starts stop. Change: a read that has no reply after 0.3 s is joined by another, up to 8; the fold passes over records that it has applied. On a healthy log one read is out, as before. Conclusion: a slow log makes the view older by one reply time, not by two.

--- a/crates/masticcross-ledger/src/agreement.rs
+++ b/crates/masticcross-ledger/src/agreement.rs
@@ -283,16 +283,17 @@
         let mut folds = self.folds.lock();
         let fold = folds.of(kind);
         fold.truncated(batch.first);
-        let before = self.state();
+        let next = fold.next();
         let mut taken = Vec::new();
-        if !batch.records.is_empty() {
+        if batch.end_of_read(next) > next {
+            let before = self.state();
             let mut state = AgreedState::clone(&before);
             taken = fold.take(&mut state, batch);
             self.note_replaced(&fold.take_replaced());
             self.publish(&before, state);
         }
         let caught_up = fold.is_caught_up(batch);
-        let progressed = !batch.records.is_empty() || fold.next() >= batch.next;
+        let progressed = fold.next() > next || fold.next() >= batch.next;
         drop(folds);
         if caught_up {
             self.note_fresh_at(kind, sent);
--- a/crates/masticcross-ledger/src/fold.rs
+++ b/crates/masticcross-ledger/src/fold.rs
@@ -133,12 +133,14 @@
         self.is_known() && self.next() == batch.next
     }
 
-    /// Applies the records of a read that began at [`Self::next`]. Returns the records applied or
-    /// passed over, in order.
+    /// Applies the records of a read that began at [`Self::next`] or before. Returns the records
+    /// applied or passed over, in order.
     pub fn take(&mut self, state: &mut AgreedState, batch: &Batch) -> Vec<Applied> {
         let mut taken = Vec::new();
         for record in &batch.records {
-            self.take_record(state, record, &mut taken);
+            if record.offset == self.next() {
+                self.take_record(state, record, &mut taken);
+            }
         }
         taken
     }
--- a/crates/masticcross-ledger/src/tail.rs
+++ b/crates/masticcross-ledger/src/tail.rs
@@ -1,11 +1,13 @@
 //! Reading a stream as it grows.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use masticcross_log::LogError;
+use masticcross_log::{Batch, LogError, Offset};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep_until, timeout};
 
 use crate::agreement::Agreement;
 use crate::fold::StreamKind;
@@ -14,7 +16,14 @@
 const READ_WAIT: Duration = Duration::from_millis(200);
 
 /// Time allowed for a reply beyond the wait.
-const READ_TIMEOUT: Duration = Duration::from_secs(1);
+const READ_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Time after which another read begins although the one before has no reply. So a slow log makes
+/// the view older by one reply time, not by two.
+const NEXT_READ_AFTER: Duration = Duration::from_millis(300);
+
+/// Most reads without a reply.
+const MAX_READS: usize = 8;
 
 /// Most records in one read.
 const READ_LIMIT: usize = 1024;
@@ -25,44 +34,94 @@
 /// Longest pause after a failed read.
 const LONGEST_PAUSE: Duration = Duration::from_millis(400);
 
+/// A read that ended.
+struct Reply {
+    sent: Instant,
+    result: Result<Batch, LogError>,
+}
+
 /// Reads one stream until the process ends.
-pub(crate) async fn follow(agreement: &Agreement, kind: StreamKind) {
-    let mut rng = SmallRng::seed_from_u64(agreement.settings().seed ^ kind as u64);
-    let mut pause = FIRST_PAUSE;
+pub(crate) async fn follow(agreement: &Arc<Agreement>, kind: StreamKind) {
+    let mut tail = Tail::new(agreement, kind);
     loop {
-        match read_once(agreement, kind).await {
-            Ok(()) => pause = FIRST_PAUSE,
+        if tail.reads.len() < MAX_READS && Instant::now() >= tail.next_at {
+            tail.start_read();
+        }
+        tokio::select! {
+            biased;
+            Some(Ok(reply)) = tail.reads.join_next() => tail.take(reply),
+            () = sleep_until(tail.next_at), if tail.reads.len() < MAX_READS => {}
+        }
+        agreement.note_freshness();
+    }
+}
+
+/// The reads of one stream.
+struct Tail<'a> {
+    agreement: &'a Arc<Agreement>,
+    kind: StreamKind,
+    reads: JoinSet<Reply>,
+    next_at: Instant,
+    pause: Duration,
+    rng: SmallRng,
+}
+
+impl<'a> Tail<'a> {
+    fn new(agreement: &'a Arc<Agreement>, kind: StreamKind) -> Self {
+        let seed = agreement.settings().seed ^ kind as u64;
+        Self {
+            agreement,
+            kind,
+            reads: JoinSet::new(),
+            next_at: Instant::now(),
+            pause: FIRST_PAUSE,
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    fn start_read(&mut self) {
+        let from = self.agreement.next(self.kind);
+        let sent = Instant::now();
+        self.next_at = sent + NEXT_READ_AFTER;
+        let agreement = self.agreement.clone();
+        let kind = self.kind;
+        self.reads.spawn(async move {
+            let result = read(&agreement, kind, from).await;
+            Reply { sent, result }
+        });
+    }
+
+    fn take(&mut self, reply: Reply) {
+        let now = Instant::now();
+        match reply.result {
+            Ok(batch) => {
+                self.pause = FIRST_PAUSE;
+                let progressed = self.agreement.take(self.kind, reply.sent, &batch);
+                if !progressed {
+                    // The log answers at once although nothing new could be used.
+                    self.next_at = now + FIRST_PAUSE;
+                } else if self.reads.is_empty() {
+                    self.next_at = now;
+                }
+            }
+            Err(LogError::Truncated { first }) => {
+                self.agreement.truncated(self.kind, first);
+                self.next_at = now;
+            }
             Err(error) => {
-                let stream = agreement.stream_name(kind);
+                let stream = self.agreement.stream_name(self.kind);
                 log::debug!(stream, error:%; "read failed");
-                sleep(pause.mul_f64(rng.random_range(0.5..1.0))).await;
-                pause = (pause * 2).min(LONGEST_PAUSE);
+                self.next_at = now + self.pause.mul_f64(self.rng.random_range(0.5..1.0));
+                self.pause = (self.pause * 2).min(LONGEST_PAUSE);
             }
         }
-        agreement.note_freshness();
     }
 }
 
-async fn read_once(agreement: &Agreement, kind: StreamKind) -> Result<(), LogError> {
-    let from = agreement.next(kind);
-    let sent = Instant::now();
+async fn read(agreement: &Agreement, kind: StreamKind, from: Offset) -> Result<Batch, LogError> {
     let stream = agreement.stream_name(kind);
     let read = agreement.log().read(stream, from, READ_LIMIT, READ_WAIT);
-    let reply = timeout(READ_WAIT + READ_TIMEOUT, read)
+    timeout(READ_WAIT + READ_TIMEOUT, read)
         .await
-        .unwrap_or_else(|_| Err(LogError::Unavailable("read timed out".to_owned())));
-    match reply {
-        Ok(batch) => {
-            if !agreement.take(kind, sent, &batch) {
-                // The log answers at once although nothing new could be used.
-                sleep(FIRST_PAUSE).await;
-            }
-            Ok(())
-        }
-        Err(LogError::Truncated { first }) => {
-            agreement.truncated(kind, first);
-            Ok(())
-        }
-        Err(error) => Err(error),
-    }
+        .unwrap_or_else(|_| Err(LogError::Unavailable("read timed out".to_owned())))
 }
--- a/crates/masticcross-ledger/tests/agreement.rs
+++ b/crates/masticcross-ledger/tests/agreement.rs
@@ -142,6 +142,25 @@
     assert!(age >= Duration::from_millis(300) && age <= Duration::from_millis(1500));
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_view_stays_fresh_while_each_read_takes_longer_than_a_second() {
+    let log = new_log();
+    publish(&log, 0, "ann", &document(0)).await.unwrap();
+    let a = start_default(&log, "a");
+    log.faults().set_slow(1.0, Duration::from_millis(1_200));
+    sleep(Duration::from_secs(10)).await;
+    for number in 1..5 {
+        publish(&log, number.into(), "ann", &document(number))
+            .await
+            .unwrap();
+        for _ in 0..50 {
+            sleep(Duration::from_millis(50)).await;
+            assert!(a.is_fresh());
+        }
+        assert_eq!(a.state().config.version, u64::from(number) + 1);
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn an_accepted_document_is_in_force_everywhere_at_once() {
     let log = new_log();
