--- a/crates/masticcross-standins/src/load/report/table.rs
+++ b/crates/masticcross-standins/src/load/report/table.rs
@@ -53,6 +53,9 @@
                 "  {:<26} {:>10} {}{not_run}",
                 refused.code, refused.count, refused.title
             )?;
+            if !refused.example.is_empty() {
+                writeln!(f, "    such as: {}", refused.example)?;
+            }
         }
         Ok(())
     }
@@ -64,7 +67,8 @@
         row(f, "differing answers", self.differing)?;
         row(f, "unanswered", self.unanswered)?;
         row(f, "late answers", self.late)?;
-        row(f, "connections lost", self.lost_connections)?;
+        row(f, "connections refused", self.refused_connections)?;
+        row(f, "connections broken in use", self.broken_connections)?;
         row(f, "submissions retried", self.retried)?;
         row(f, "sent later than due", self.delayed)?;
         row(f, "not compared", self.untracked)
--- a/crates/masticcross-standins/src/load/tests.rs
+++ b/crates/masticcross-standins/src/load/tests.rs
@@ -8,7 +8,7 @@
 use serde_json::json;
 
 use super::arrivals::{Arrivals, Phase, Plan};
-use super::caller::{Answer, Answered, check};
+use super::caller::{Answer, Answered, Losses, check};
 use super::days::{Day, phases};
 use super::jobs::JobTable;
 use super::mix::{Deployment, Mix, Span};
@@ -49,7 +49,7 @@
 fn answered(answer: Answer, ms: u64) -> Answered {
     Answered {
         answer,
-        lost_connections: 0,
+        losses: Losses::default(),
         elapsed: Duration::from_millis(ms),
     }
 }
@@ -63,6 +63,7 @@
     Answer::Refused {
         code: 2001,
         not_run,
+        detail: "busy".to_owned(),
     }
 }
 
@@ -206,9 +207,9 @@
     answer_without_value: 200, json!({"results": [{"value": 10}, null]}) => Answer::WrongValue,
     answer_without_results: 200, json!({}) => Answer::Malformed { status: 200 },
     refusal: 503, json!({"code": 2001, "not_run": true, "detail": ""})
-        => Answer::Refused { code: 2001, not_run: true },
+        => Answer::Refused { code: 2001, not_run: true, .. },
     failure: 502, json!({"code": 3001, "not_run": false})
-        => Answer::Refused { code: 3001, not_run: false },
+        => Answer::Refused { code: 3001, not_run: false, .. },
     problem_without_not_run: 503, json!({"code": 2001}) => Answer::Malformed { status: 503 },
 }
 
@@ -235,7 +236,10 @@
         let other = submission("b", 0, &[10]);
         recorder.sent(&other, true);
         let mut answered = answered(answer, 5);
-        answered.lost_connections = 2;
+        answered.losses = Losses {
+            refused: 1,
+            broken: 2,
+        };
         recorder.answered(&other, &answered, true);
     }
     recorder.given_up(3);
@@ -249,16 +253,16 @@
         (report.partial, report.wrong_values, report.unanswered),
         (1, 1, 4)
     );
-    assert_eq!(
-        (report.lost_connections, report.retried, report.delayed),
-        (12, 6, 6)
-    );
+    assert_eq!((report.retried, report.delayed), (6, 6));
+    let connections = (report.refused_connections, report.broken_connections);
+    assert_eq!(connections, (6, 12));
     let counts: Vec<_> = report
         .refused
         .iter()
         .map(|r| (r.not_run, r.count))
         .collect();
     assert_eq!(counts, [(false, 1), (true, 2)]);
+    assert_eq!(report.refused[0].example, "busy");
     assert_close(report.jobs_per_second, 0.25);
     assert_close(report.tasks_per_second, 0.5);
     assert_close(report.offered_slots, 0.105);
