--- a/crates/masticcross-entry/src/owner/shell.rs
+++ b/crates/masticcross-entry/src/owner/shell.rs
@@ -13,7 +13,7 @@
 use super::settings::{Rules, limits};
 use super::shard::{Cx, Shard};
 use super::submit::Verdict;
-use super::{AgentId, Owner};
+use super::{AgentId, KeptRules, Owner};
 
 /// Interval at which forgotten jobs are dropped from the tables.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
@@ -44,14 +44,20 @@
     pub(super) fn rules(&self) -> Arc<Rules> {
         let state = self.agreement.state();
         let version = state.config.version;
-        if let Some((known, rules)) = &*self.rules.read()
-            && *known == version
+        let fence = self.agreement.fence();
+        if let Some(kept) = &*self.rules.read()
+            && kept.version == version
+            && kept.fence == fence
         {
-            return rules.clone();
+            return kept.rules.clone();
         }
         let document = state.config.document.as_deref();
-        let rules = Arc::new(Rules::new(document, &self.settings));
-        *self.rules.write() = Some((version, rules.clone()));
+        let rules = Arc::new(Rules::new(document, fence, &self.settings));
+        *self.rules.write() = Some(KeptRules {
+            version,
+            fence,
+            rules: rules.clone(),
+        });
         rules
     }
 
