Refuse as not run while that can still be known

Cause: a job that waited for its admission when the log went down was refused only after the view had grown old, so the refusal could not say 'not run'.

Change: the wait ends just before the view grows too old. Answers that came with a table handed over count under the memory limit.

--- a/crates/masticcross-entry/src/owner/effect.rs
+++ b/crates/masticcross-entry/src/owner/effect.rs
@@ -41,6 +41,8 @@
     Gather(AgentId),
     /// Answer submissions.
     Answer(Waiters, JobAnswer),
+    /// Count a kept answer, with its bytes.
+    Keep(JobKey, usize),
     /// Record the end of a job, then release its results.
     Ended(JobEnd),
     /// Release a late result of a job whose end is recorded.
--- a/crates/masticcross-entry/src/owner/handover.rs
+++ b/crates/masticcross-entry/src/owner/handover.rs
@@ -10,7 +10,7 @@
 use super::effect::{Effect, Waiters};
 use super::job::{Contact, Job, Placement, Stage, Task, TaskState};
 use super::loss::UNCERTAIN_ATTEMPT;
-use super::shard::{Cx, Phase, Shard};
+use super::shard::{Cx, Phase, Shard, answer_bytes};
 
 /// Jobs in one frame.
 const JOBS_PER_FRAME: usize = 128;
@@ -93,7 +93,11 @@
         holders
     }
 
-    fn import_ended(&mut self, record: JobRecord, cx: &Cx<'_>) {
+    fn import_ended(&mut self, record: JobRecord, cx: &mut Cx<'_>) {
+        if let Some(answer) = &record.answer {
+            let kept = Effect::Keep(record.request.key.clone(), answer_bytes(answer));
+            cx.effects.push(kept);
+        }
         let age = Duration::from_millis(record.age_ms);
         let at = cx.now.checked_sub(age).unwrap_or(cx.now);
         let key = record.request.key;
--- a/crates/masticcross-entry/src/owner/shell.rs
+++ b/crates/masticcross-entry/src/owner/shell.rs
@@ -6,6 +6,7 @@
 
 use masticcross_basics::{Code, Digest, Epoch, JobKey, Partition};
 use masticcross_ledger::AdmissionRecord;
+use masticcross_log::LogError;
 use masticcross_wire::{JobAnswer, JobRequest, Refusal};
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -18,6 +19,9 @@
 /// Interval at which forgotten jobs are dropped from the tables.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time for a refusal to leave before the view is too old for it.
+const VIEW_MARGIN: Duration = Duration::from_millis(50);
+
 /// Pause before the end of a job is written again.
 const RECORD_PAUSE: Duration = Duration::from_secs(1);
 
@@ -91,13 +95,35 @@
 
     async fn admit(self: Arc<Self>, record: AdmissionRecord) {
         let (key, epoch) = (record.key.clone(), record.epoch);
-        let result = self.admissions.admit(record).await;
+        let result = tokio::select! {
+            biased;
+            result = self.admissions.admit(record) => result,
+            () = self.view_grows_old() => {
+                Err(LogError::Unavailable("the log does not answer".to_owned()))
+            }
+        };
         self.decide(key.partition(), |shard, cx| match &result {
             Ok(()) => shard.admitted(&key, epoch, cx),
             Err(error) => shard.not_admitted(&key, epoch, &error.to_string(), cx),
         });
     }
 
+    /// Waits until the view is about to grow too old to say "not run".
+    async fn view_grows_old(&self) {
+        if !self.settings.checks.freshness {
+            std::future::pending::<()>().await;
+        }
+        loop {
+            let freshness = self.agreement.times().freshness();
+            let usable = freshness.saturating_sub(VIEW_MARGIN);
+            let age = self.agreement.view_age().unwrap_or(freshness);
+            let Some(left) = usable.checked_sub(age).filter(|left| !left.is_zero()) else {
+                return;
+            };
+            sleep(left).await;
+        }
+    }
+
     /// Waits for the answer that a verdict promises.
     pub(super) async fn settle(&self, partition: Partition, verdict: Verdict) -> JobAnswer {
         match verdict {
@@ -138,6 +164,7 @@
                         let _ = waiter.send(answer.clone());
                     }
                 }
+                Effect::Keep(key, bytes) => self.keep_answer(key, bytes),
                 Effect::Ended(end) => self.note_end(end),
                 Effect::Release(agent, key) => self.dispatch.release(&[agent], &[key]),
                 Effect::Event(event) => self.timeline.record(*event),
@@ -156,18 +183,22 @@
     }
 
     fn note_end(&self, end: JobEnd) {
+        self.keep_answer(end.record.key.clone(), end.bytes);
+        if let Some(me) = self.me.upgrade() {
+            tokio::spawn(me.record_end(end));
+        }
+    }
+
+    /// Counts a kept answer, and drops the oldest ones beyond the limit.
+    fn keep_answer(&self, key: JobKey, bytes: usize) {
         let state = self.agreement.state();
         let limit = limits(state.config.document.as_deref()).answer_memory_bytes;
-        let key = end.record.key.clone();
         let now = Instant::now();
-        let dropped = self.memory.lock().keep(key, end.bytes, now, limit);
+        let dropped = self.memory.lock().keep(key, bytes, now, limit);
         for key in dropped {
             let index = usize::from(key.partition().index());
             self.shards[index].lock().drop_answer(&key);
         }
-        if let Some(me) = self.me.upgrade() {
-            tokio::spawn(me.record_end(end));
-        }
     }
 
     /// Writes the end of a job to the log, and then lets agents drop its results. Not before: a
