--- a/crates/masticcross-entry/src/owner/shell.rs
+++ b/crates/masticcross-entry/src/owner/shell.rs
@@ -1,11 +1,12 @@
 //! Carries out what the tables decide.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use masticcross_basics::{Code, Digest, Epoch, JobKey, Partition};
 use masticcross_ledger::AdmissionRecord;
+use masticcross_log::LogError;
 use masticcross_wire::{JobAnswer, JobRequest, Refusal};
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -13,11 +14,14 @@
 use super::settings::{Rules, limits};
 use super::shard::{Cx, Shard};
 use super::submit::Verdict;
-use super::{AgentId, Owner};
+use super::{AgentId, KeptRules, Owner};
 
 /// Interval at which forgotten jobs are dropped from the tables.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time for a refusal to leave before the view is too old for it.
+const VIEW_MARGIN: Duration = Duration::from_millis(50);
+
 /// Pause before the end of a job is written again.
 const RECORD_PAUSE: Duration = Duration::from_secs(1);
 
@@ -40,11 +44,25 @@
         result
     }
 
-    /// Works out the rules in force.
-    pub(super) fn rules(&self) -> Rules {
+    /// Returns the rules in force.
+    pub(super) fn rules(&self) -> Arc<Rules> {
         let state = self.agreement.state();
+        let version = state.config.version;
+        let fence = self.agreement.fence();
+        if let Some(kept) = &*self.rules.read()
+            && kept.version == version
+            && kept.fence == fence
+        {
+            return kept.rules.clone();
+        }
         let document = state.config.document.as_deref();
-        Rules::new(document, self.agreement.fence(), &self.settings)
+        let rules = Arc::new(Rules::new(document, fence, &self.settings));
+        *self.rules.write() = Some(KeptRules {
+            version,
+            fence,
+            rules: rules.clone(),
+        });
+        rules
     }
 
     /// Returns true while this entry may say "not run" and admit jobs.
@@ -52,13 +70,10 @@
         !self.settings.checks.freshness || self.agreement.is_fresh()
     }
 
-    /// Returns the number of jobs in all tables.
-    pub(super) fn known_jobs(&self) -> u64 {
-        let total = AtomicU64::new(0);
-        for shard in &self.shards {
-            total.fetch_add(shard.lock().len() as u64, Ordering::Relaxed);
-        }
-        total.into_inner()
+    /// Counts the jobs in all tables.
+    fn count_jobs(&self) {
+        let lens = self.shards.iter().map(|shard| shard.lock().len() as u64);
+        self.known_jobs.store(lens.sum(), Ordering::Relaxed);
     }
 
     /// Enters a new job and starts its admission, which goes on when the caller is gone.
@@ -70,6 +85,7 @@
         cx: &mut Cx<'_>,
     ) -> Verdict {
         let view = self.agreement.state().version.partitions;
+        self.known_jobs.fetch_add(1, Ordering::Relaxed);
         let (record, receiver) = shard.enter(request.clone(), digest, view, cx);
         if let Some(me) = self.me.upgrade() {
             tokio::spawn(me.admit(record));
@@ -79,13 +95,35 @@
 
     async fn admit(self: Arc<Self>, record: AdmissionRecord) {
         let (key, epoch) = (record.key.clone(), record.epoch);
-        let result = self.admissions.admit(record).await;
+        let result = tokio::select! {
+            biased;
+            result = self.admissions.admit(record) => result,
+            () = self.view_grows_old() => {
+                Err(LogError::Unavailable("the log does not answer".to_owned()))
+            }
+        };
         self.decide(key.partition(), |shard, cx| match &result {
             Ok(()) => shard.admitted(&key, epoch, cx),
             Err(error) => shard.not_admitted(&key, epoch, &error.to_string(), cx),
         });
     }
 
+    /// Waits until the view is about to grow too old to say "not run".
+    async fn view_grows_old(&self) {
+        if !self.settings.checks.freshness {
+            std::future::pending::<()>().await;
+        }
+        loop {
+            let freshness = self.agreement.times().freshness();
+            let usable = freshness.saturating_sub(VIEW_MARGIN);
+            let age = self.agreement.view_age().unwrap_or(freshness);
+            let Some(left) = usable.checked_sub(age).filter(|left| !left.is_zero()) else {
+                return;
+            };
+            sleep(left).await;
+        }
+    }
+
     /// Waits for the answer that a verdict promises.
     pub(super) async fn settle(&self, partition: Partition, verdict: Verdict) -> JobAnswer {
         match verdict {
@@ -126,6 +164,7 @@
                         let _ = waiter.send(answer.clone());
                     }
                 }
+                Effect::Keep(key, bytes) => self.keep_answer(key, bytes),
                 Effect::Ended(end) => self.note_end(end),
                 Effect::Release(agent, key) => self.dispatch.release(&[agent], &[key]),
                 Effect::Event(event) => self.timeline.record(*event),
@@ -144,18 +183,22 @@
     }
 
     fn note_end(&self, end: JobEnd) {
+        self.keep_answer(end.record.key.clone(), end.bytes);
+        if let Some(me) = self.me.upgrade() {
+            tokio::spawn(me.record_end(end));
+        }
+    }
+
+    /// Counts a kept answer, and drops the oldest ones beyond the limit.
+    fn keep_answer(&self, key: JobKey, bytes: usize) {
         let state = self.agreement.state();
         let limit = limits(state.config.document.as_deref()).answer_memory_bytes;
-        let key = end.record.key.clone();
         let now = Instant::now();
-        let dropped = self.memory.lock().keep(key, end.bytes, now, limit);
+        let dropped = self.memory.lock().keep(key, bytes, now, limit);
         for key in dropped {
             let index = usize::from(key.partition().index());
             self.shards[index].lock().drop_answer(&key);
         }
-        if let Some(me) = self.me.upgrade() {
-            tokio::spawn(me.record_end(end));
-        }
     }
 
     /// Writes the end of a job to the log, and then lets agents drop its results. Not before: a
@@ -248,6 +291,7 @@
             if now >= sweep_at {
                 sweep_at = now + SWEEP_INTERVAL;
                 self.forget_answers(now);
+                self.count_jobs();
             }
             *self.next_wake.lock() = None;
             for partition in Partition::all() {
