--- a/crates/masticcross-entry/src/owner/mod.rs
+++ b/crates/masticcross-entry/src/owner/mod.rs
@@ -86,8 +86,12 @@
     pub reruns: u64,
 }
 
-/// Rules worked out last, with the configuration's version and the fence that they hold for.
-type KnownRules = ((u64, Duration), Arc<Rules>);
+/// Rules, and the configuration version and fence that they were worked out from.
+struct KeptRules {
+    version: u64,
+    fence: Duration,
+    rules: Arc<Rules>,
+}
 
 /// Tables of the jobs of all partitions that this entry owns.
 pub struct Owner {
@@ -106,8 +110,7 @@
     phases: watch::Sender<u64>,
     timers_changed: Notify,
     next_wake: Mutex<Option<Instant>>,
-    /// Rules of the configuration version that stands with them.
-    rules: RwLock<Option<KnownRules>>,
+    rules: RwLock<Option<KeptRules>>,
     /// Jobs in all tables, counted anew from time to time.
     known_jobs: AtomicU64,
 }
--- a/crates/masticcross-entry/src/owner/shell.rs
+++ b/crates/masticcross-entry/src/owner/shell.rs
@@ -6,6 +6,7 @@
 
 use masticcross_basics::{Code, Digest, Epoch, JobKey, Partition};
 use masticcross_ledger::AdmissionRecord;
+use masticcross_log::LogError;
 use masticcross_wire::{JobAnswer, JobRequest, Refusal};
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -13,11 +14,14 @@
 use super::settings::{Rules, limits};
 use super::shard::{Cx, Shard};
 use super::submit::Verdict;
-use super::{AgentId, Owner};
+use super::{AgentId, KeptRules, Owner};
 
 /// Interval at which forgotten jobs are dropped from the tables.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time for a refusal to leave before the view is too old for it.
+const VIEW_MARGIN: Duration = Duration::from_millis(50);
+
 /// Pause before the end of a job is written again.
 const RECORD_PAUSE: Duration = Duration::from_secs(1);
 
@@ -43,15 +47,21 @@
     /// Returns the rules in force.
     pub(super) fn rules(&self) -> Arc<Rules> {
         let state = self.agreement.state();
-        let known_as = (state.config.version, self.agreement.fence());
-        if let Some((known, rules)) = &*self.rules.read()
-            && *known == known_as
+        let version = state.config.version;
+        let fence = self.agreement.fence();
+        if let Some(kept) = &*self.rules.read()
+            && kept.version == version
+            && kept.fence == fence
         {
-            return rules.clone();
+            return kept.rules.clone();
         }
         let document = state.config.document.as_deref();
-        let rules = Arc::new(Rules::new(document, known_as.1, &self.settings));
-        *self.rules.write() = Some((known_as, rules.clone()));
+        let rules = Arc::new(Rules::new(document, fence, &self.settings));
+        *self.rules.write() = Some(KeptRules {
+            version,
+            fence,
+            rules: rules.clone(),
+        });
         rules
     }
 
@@ -85,13 +95,35 @@
 
     async fn admit(self: Arc<Self>, record: AdmissionRecord) {
         let (key, epoch) = (record.key.clone(), record.epoch);
-        let result = self.admissions.admit(record).await;
+        let result = tokio::select! {
+            biased;
+            result = self.admissions.admit(record) => result,
+            () = self.view_grows_old() => {
+                Err(LogError::Unavailable("the log does not answer".to_owned()))
+            }
+        };
         self.decide(key.partition(), |shard, cx| match &result {
             Ok(()) => shard.admitted(&key, epoch, cx),
             Err(error) => shard.not_admitted(&key, epoch, &error.to_string(), cx),
         });
     }
 
+    /// Waits until the view is about to grow too old to say "not run".
+    async fn view_grows_old(&self) {
+        if !self.settings.checks.freshness {
+            std::future::pending::<()>().await;
+        }
+        loop {
+            let freshness = self.agreement.times().freshness();
+            let usable = freshness.saturating_sub(VIEW_MARGIN);
+            let age = self.agreement.view_age().unwrap_or(freshness);
+            let Some(left) = usable.checked_sub(age).filter(|left| !left.is_zero()) else {
+                return;
+            };
+            sleep(left).await;
+        }
+    }
+
     /// Waits for the answer that a verdict promises.
     pub(super) async fn settle(&self, partition: Partition, verdict: Verdict) -> JobAnswer {
         match verdict {
@@ -132,6 +164,7 @@
                         let _ = waiter.send(answer.clone());
                     }
                 }
+                Effect::Keep(key, bytes) => self.keep_answer(key, bytes),
                 Effect::Ended(end) => self.note_end(end),
                 Effect::Release(agent, key) => self.dispatch.release(&[agent], &[key]),
                 Effect::Event(event) => self.timeline.record(*event),
@@ -150,18 +183,22 @@
     }
 
     fn note_end(&self, end: JobEnd) {
+        self.keep_answer(end.record.key.clone(), end.bytes);
+        if let Some(me) = self.me.upgrade() {
+            tokio::spawn(me.record_end(end));
+        }
+    }
+
+    /// Counts a kept answer, and drops the oldest ones beyond the limit.
+    fn keep_answer(&self, key: JobKey, bytes: usize) {
         let state = self.agreement.state();
         let limit = limits(state.config.document.as_deref()).answer_memory_bytes;
-        let key = end.record.key.clone();
         let now = Instant::now();
-        let dropped = self.memory.lock().keep(key, end.bytes, now, limit);
+        let dropped = self.memory.lock().keep(key, bytes, now, limit);
         for key in dropped {
             let index = usize::from(key.partition().index());
             self.shards[index].lock().drop_answer(&key);
         }
-        if let Some(me) = self.me.upgrade() {
-            tokio::spawn(me.record_end(end));
-        }
     }
 
     /// Writes the end of a job to the log, and then lets agents drop its results. Not before: a
