--- a/crates/masticcross-entry/tests/support/cluster.rs
+++ b/crates/masticcross-entry/tests/support/cluster.rs
@@ -145,6 +145,22 @@
         }
     }
 
+    /// Stops an agent in order.
+    pub async fn close_agent(&mut self, index: usize) {
+        if let Some(node) = self.agents.remove(&index) {
+            self.observer.note(format!("close {}", node.process));
+            node.close(&self.net).await;
+        }
+    }
+
+    /// Lists the versions of the configuration in force at all processes.
+    pub fn versions(&self) -> impl Iterator<Item = u64> {
+        let at_entries = self.entries.values();
+        let at_entries = at_entries.map(|e| e.agreement.state().config.version);
+        let views = self.agents.values().map(|a| a.agent.core().view().view());
+        at_entries.chain(views.map(|view| view.map_or(0, |v| v.config_version)))
+    }
+
     /// Stops an entry in order. Returns true if it handed everything over in time.
     pub async fn close_entry(&mut self, index: usize) -> bool {
         let Some(node) = self.entries.remove(&index) else {
--- a/crates/masticcross-entry/tests/support/node.rs
+++ b/crates/masticcross-entry/tests/support/node.rs
@@ -216,6 +216,13 @@
         }
     }
 
+    /// Stops the process in order.
+    pub async fn close(self, net: &Net) {
+        self.agent.clone().close().await;
+        net.kill(&self.process);
+        self.task.abort();
+    }
+
     /// Ends the process at once, its tasks with it.
     pub fn kill(self, net: &Net, observer: &Observer) {
         observer.disturbed(&self.worker);
--- a/crates/masticcross-entry/tests/whole.rs
+++ b/crates/masticcross-entry/tests/whole.rs
@@ -278,3 +278,68 @@
     let counts = cluster.observer.counts();
     assert_eq!((counts.complete, counts.reruns), (1, 0), "{counts:?}");
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_planned_stop_of_a_worker_cuts_nothing() {
+    let mut cluster = ready().await;
+    for job in spread("stop", 30) {
+        cluster.submit(0, request(&job, &[400; 3], 20_000, false));
+    }
+    sleep(Duration::from_millis(200)).await;
+    cluster.close_agent(0).await;
+    cluster.callers_done().await;
+    cluster.observer.assert_kept("worker stopped in order");
+    let counts = cluster.observer.counts();
+    assert_eq!((counts.complete, counts.reruns), (30, 0), "{counts:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn everything_restarted_at_once_keeps_the_configuration_and_starts_nothing_twice() {
+    let mut cluster = ready().await;
+    assert!(cluster.publish_zones_out(&["south"]).await);
+    let jobs = spread("restart", 30);
+    for job in &jobs {
+        cluster.submit(0, request(job, &[600; 2], 8_000, false));
+    }
+    sleep(Duration::from_millis(700)).await;
+    for index in 0..4 {
+        cluster.kill_entry(index);
+        cluster.kill_agent(index);
+    }
+    for index in 0..3 {
+        cluster.start_entry(index);
+    }
+    for index in 0..4 {
+        cluster.start_agent(index);
+    }
+    sleep(Duration::from_secs(5)).await;
+    cluster.ready().await;
+    let versions: Vec<u64> = cluster.versions().collect();
+    assert_eq!(versions, [2; 7]);
+    for job in &jobs {
+        cluster.submit(1, request(job, &[600; 2], 8_000, false));
+    }
+    cluster.callers_done().await;
+    cluster.observer.assert_kept("everything restarted");
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_same_owner_killed_again_and_again() {
+    let mut cluster = ready().await;
+    for round in 0..4 {
+        for job in spread(&format!("round-{round}"), 20) {
+            cluster.submit(1, request(&job, &[300; 2], 20_000, false));
+        }
+        sleep(Duration::from_millis(250)).await;
+        cluster.kill_entry(0);
+        sleep(Duration::from_millis(400)).await;
+        cluster.start_entry(0);
+        sleep(Duration::from_millis(1_500)).await;
+    }
+    cluster.callers_done().await;
+    cluster
+        .observer
+        .assert_kept("the same owner killed four times");
+    let counts = cluster.observer.counts();
+    assert_eq!((counts.complete, counts.reruns), (80, 0), "{counts:?}");
+}
