Count dispatch by metrics; test queue, placement, limits and agents' sessions

Cause: messages were not counted, and the decisions had no tests of their own. Change: a registry with messages by kind, wasted ones, starts by zone, refusals, run times and levels, shown on the operators' port; cases and quickcheck properties for shares, ageing, credits, quotas, retries, blame and sessions. One line of entry.rs hands the registry over.

--- a/crates/masticcross-entry/src/dispatch/demand.rs
+++ b/crates/masticcross-entry/src/dispatch/demand.rs
@@ -76,6 +76,7 @@
         // Each agent learns its part, so that what it receives tells it what is left.
         let part = waiting.div_ceil(workers.len().max(1));
         let waiting = u32::try_from(part).unwrap_or(u32::MAX);
+        self.metrics.wasted("demand", workers.len() as u64);
         for session in workers.iter().filter_map(|w| self.sessions.of_worker(w)) {
             session.send(Frame::Demand(Demand {
                 service: service.clone(),
--- /dev/null
+++ b/crates/masticcross-entry/src/dispatch/metrics.rs
@@ -0,0 +1,176 @@
+//! Metrics of dispatch.
+
+use std::time::Duration;
+
+use masticcross_basics::{Code, Name};
+use masticcross_wire::Frame;
+use prometheus::{
+    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGaugeVec, Opts, Registry,
+};
+
+/// Result of the registration of a metric.
+pub type Result<T> = prometheus::Result<T>;
+
+/// Upper bounds of the run times' buckets, in seconds.
+const RUN_SECONDS: [f64; 10] = [0.01, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0];
+
+/// Figures of one service that change all the time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Levels {
+    /// Tasks that wait for a credit.
+    pub waiting: usize,
+    /// Tasks sent and not ended.
+    pub outstanding: usize,
+    /// Credits not used.
+    pub credits: u64,
+    /// Workers connected.
+    pub workers: usize,
+    /// Workers taken out after failures.
+    pub workers_out: usize,
+}
+
+/// Counters, gauges and histograms of dispatch.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    registry: Registry,
+    messages: IntCounterVec,
+    wasted: IntCounterVec,
+    starts: IntCounterVec,
+    refusals: IntCounterVec,
+    retries: IntCounter,
+    run_seconds: HistogramVec,
+    waiting: IntGaugeVec,
+    outstanding: IntGaugeVec,
+    credits: IntGaugeVec,
+    workers: IntGaugeVec,
+    workers_out: IntGaugeVec,
+}
+
+impl Metrics {
+    /// Creates the metrics with a registry of their own.
+    ///
+    /// # Errors
+    /// Fails if a name is registered twice.
+    pub fn new() -> Result<Self> {
+        let registry = Registry::new_custom(Some("masticcross".to_owned()), None)?;
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            let counters = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(counters.clone()))?;
+            Result::Ok(counters)
+        };
+        let gauges = |name: &str, help: &str| {
+            let gauges = IntGaugeVec::new(Opts::new(name, help), &["service"])?;
+            registry.register(Box::new(gauges.clone()))?;
+            Result::Ok(gauges)
+        };
+        let retries = IntCounter::new("retries_total", "Retries that the budget allowed")?;
+        registry.register(Box::new(retries.clone()))?;
+        let runs = HistogramOpts::new("task_run_seconds", "Run time of tasks that ended well");
+        let run_seconds = HistogramVec::new(runs.buckets(RUN_SECONDS.to_vec()), &["service"])?;
+        registry.register(Box::new(run_seconds.clone()))?;
+        Ok(Self {
+            messages: counters(
+                "agent_messages_total",
+                "Frames to and from agents",
+                &["kind", "direction"],
+            )?,
+            wasted: counters(
+                "wasted_messages_total",
+                "Frames to and from agents that did no work",
+                &["kind"],
+            )?,
+            starts: counters("task_starts_total", "Tasks sent, by zone", &["zone"])?,
+            refusals: counters("refusals_total", "Jobs refused by the check", &["code"])?,
+            retries,
+            run_seconds,
+            waiting: gauges("waiting_tasks", "Tasks that wait for a credit")?,
+            outstanding: gauges("outstanding_tasks", "Tasks sent and not ended")?,
+            credits: gauges("credits", "Credits not used")?,
+            workers: gauges("workers", "Workers connected")?,
+            workers_out: gauges("workers_out", "Workers taken out after failures")?,
+            registry,
+        })
+    }
+
+    /// Returns the registry with all metrics.
+    #[must_use]
+    pub fn registry(&self) -> &Registry {
+        &self.registry
+    }
+
+    /// Counts a frame that was sent.
+    pub fn sent(&self, frame: &Frame) {
+        self.messages
+            .with_label_values(&[kind(frame), "sent"])
+            .inc();
+    }
+
+    /// Counts a frame that was received.
+    pub fn received(&self, frame: &Frame) {
+        self.messages
+            .with_label_values(&[kind(frame), "received"])
+            .inc();
+    }
+
+    /// Counts frames of a kind that did no work.
+    pub fn wasted(&self, kind: &str, frames: u64) {
+        self.wasted.with_label_values(&[kind]).inc_by(frames);
+    }
+
+    /// Counts tasks that were sent.
+    pub fn started(&self, zone: &Name, tasks: usize) {
+        let tasks = u64::try_from(tasks).unwrap_or(u64::MAX);
+        self.starts.with_label_values(&[&**zone]).inc_by(tasks);
+    }
+
+    /// Counts a job that the check refused.
+    pub fn refused(&self, code: Code) {
+        let code = code.number().to_string();
+        self.refusals.with_label_values(&[code.as_str()]).inc();
+    }
+
+    /// Counts a retry.
+    pub fn retried(&self) {
+        self.retries.inc();
+    }
+
+    /// Takes over the run time of a task that ended well.
+    pub fn ran(&self, service: &Name, run: Duration) {
+        let histogram = self.run_seconds.with_label_values(&[&**service]);
+        histogram.observe(run.as_secs_f64());
+    }
+
+    /// Sets the figures of a service.
+    pub fn set_levels(&self, service: &Name, levels: &Levels) {
+        let set = |gauge: &IntGaugeVec, value: u64| {
+            let value = i64::try_from(value).unwrap_or(i64::MAX);
+            gauge.with_label_values(&[&**service]).set(value);
+        };
+        set(&self.waiting, levels.waiting as u64);
+        set(&self.outstanding, levels.outstanding as u64);
+        set(&self.credits, levels.credits);
+        set(&self.workers, levels.workers as u64);
+        set(&self.workers_out, levels.workers_out as u64);
+    }
+}
+
+/// Returns the name of a frame's kind.
+fn kind(frame: &Frame) -> &'static str {
+    match frame {
+        Frame::Hello(_) => "hello",
+        Frame::Goodbye(_) => "goodbye",
+        Frame::Ping(_) => "ping",
+        Frame::Pong(_) => "pong",
+        Frame::Backends(_) => "backends",
+        Frame::Credit(_) => "credit",
+        Frame::Demand(_) => "demand",
+        Frame::Start(_) => "start",
+        Frame::Stop(_) => "stop",
+        Frame::Ended(_) => "ended",
+        Frame::Release(_) => "release",
+        Frame::Gather(_) => "gather",
+        Frame::Gathered(_) => "gathered",
+        Frame::Drain => "drain",
+        _ => "other",
+    }
+}
--- a/crates/masticcross-entry/src/dispatch/mod.rs
+++ b/crates/masticcross-entry/src/dispatch/mod.rs
@@ -13,6 +13,7 @@
 mod demand;
 mod health;
 mod limits;
+pub mod metrics;
 mod pump;
 pub mod queue;
 mod registration;
@@ -22,6 +23,8 @@
 mod session;
 pub mod shard;
 mod sizes;
+#[cfg(test)]
+mod tests;
 mod usage;
 mod waiting;
 pub mod workers;
@@ -37,6 +40,7 @@
 use tokio::time::Instant;
 
 use self::budget::RetryBudget;
+use self::metrics::Metrics;
 use self::pump::ServiceHandle;
 use self::queue::QueuePolicy;
 use self::session::Sessions;
@@ -61,10 +65,14 @@
     services: RwLock<BTreeMap<Name, Arc<ServiceHandle>>>,
     usage: Arc<TeamUsage>,
     budget: Mutex<RetryBudget>,
+    metrics: Metrics,
 }
 
 impl Dispatch {
     /// Creates empty queues.
+    ///
+    /// # Panics
+    /// Never: the names of the metrics differ.
     #[must_use]
     pub fn new(identity: Identity, agreement: Arc<Agreement>, timeline: Timeline) -> Arc<Self> {
         Arc::new_cyclic(|this| Self {
@@ -77,6 +85,7 @@
             services: RwLock::default(),
             usage: Arc::default(),
             budget: Mutex::default(),
+            metrics: Metrics::new().expect("the names differ"),
         })
     }
 
@@ -98,7 +107,15 @@
         if let Some(document) = &state.config.document {
             shard.apply_config(state.config.version, document, now);
         }
-        shard.check(request, now)
+        shard
+            .check(request, now)
+            .inspect_err(|refusal| self.metrics.refused(refusal.code))
+    }
+
+    /// Returns the registry of the metrics of dispatch.
+    #[must_use]
+    pub fn registry(&self) -> &prometheus::Registry {
+        self.metrics.registry()
     }
 
     /// Queues tasks.
@@ -129,7 +146,11 @@
     /// Uses up one retry of a task, if the budget allows it. Beyond the budget the job has to fail.
     #[must_use]
     pub fn may_retry(&self) -> bool {
-        self.budget.lock().try_retry(Instant::now())
+        let allowed = self.budget.lock().try_retry(Instant::now());
+        if allowed {
+            self.metrics.retried();
+        }
+        allowed
     }
 
     /// Asks all connected agents for what they know of a partition. The answers go to
--- a/crates/masticcross-entry/src/dispatch/pump.rs
+++ b/crates/masticcross-entry/src/dispatch/pump.rs
@@ -63,7 +63,10 @@
             let Some(dispatch) = dispatch.upgrade() else {
                 return;
             };
-            refresh(&shard, &mut state, &mut ticked);
+            if refresh(&shard, &mut state, &mut ticked) {
+                let levels = shard.lock().levels();
+                dispatch.metrics.set_levels(&service, &levels);
+            }
             dispatch.pump(&service, &shard)
         };
         if more {
@@ -80,22 +83,24 @@
     }
 }
 
-/// Brings the shard up to date with configuration and time.
+/// Brings the shard up to date with configuration and time. Returns true if it was time for a tick.
 fn refresh(
     shard: &Mutex<Shard>,
     state: &mut watch::Receiver<Arc<AgreedState>>,
     ticked: &mut Instant,
-) {
+) -> bool {
     let now = Instant::now();
     let agreed = state.borrow_and_update().clone();
     let mut shard = shard.lock();
     if let Some(document) = &agreed.config.document {
         shard.apply_config(agreed.config.version, document, now);
     }
-    if now.saturating_duration_since(*ticked) >= TICK {
+    let due = now.saturating_duration_since(*ticked) >= TICK;
+    if due {
         *ticked = now;
         shard.tick(now);
     }
+    due
 }
 
 impl Dispatch {
@@ -216,6 +221,7 @@
     };
     if session.send(Frame::Start(start)) {
         dispatch.budget.lock().started(job.len(), Instant::now());
+        dispatch.metrics.started(&session.zone, job.len());
         for (placement, grant) in job {
             let event = Event::new(EventKind::Placed)
                 .job(key)
--- a/crates/masticcross-entry/src/dispatch/serve.rs
+++ b/crates/masticcross-entry/src/dispatch/serve.rs
@@ -7,7 +7,8 @@
 use masticcross_basics::{Code, Name};
 use masticcross_config::Times;
 use masticcross_wire::{
-    BackendInfo, Credit, Frame, Hello, Link, PROTOCOL_VERSION, Ping, Pong, TaskEnded,
+    BackendInfo, Credit, Frame, Hello, Link, NotStartedReason, PROTOCOL_VERSION, Ping, Pong,
+    TaskEnded, TaskOutcome,
 };
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout};
@@ -20,7 +21,7 @@
     /// Serves the session of an agent whose hello has been read, until it ends.
     pub async fn serve_agent(self: Arc<Self>, hello: Hello, link: Link) {
         let Link { tx, rx } = link;
-        let session = Session::new(&hello, tx);
+        let session = Session::new(&hello, tx, self.metrics.clone());
         session.send(Frame::Hello(self.identity.hello(hello.session)));
         if hello.protocol != PROTOCOL_VERSION {
             session.send_goodbye(Code::ProtocolVersion);
@@ -108,6 +109,7 @@
     }
 
     fn handle(&self, session: &Session, frame: Frame) -> Handled {
+        self.metrics.received(&frame);
         match frame {
             Frame::Ping(ping) => self.pong(session, &ping),
             Frame::Backends(backends) => self.replace_backends(session, &backends),
@@ -208,10 +210,13 @@
         };
         let worker = &session.agent.worker;
         let now = Instant::now();
-        handle
+        let raised = handle
             .shard
             .lock()
             .credit(worker, session.number, credit.total, now);
+        if !raised {
+            self.metrics.wasted("credit", 1);
+        }
         handle.wake();
     }
 
@@ -220,7 +225,9 @@
         let handle = self.service(&ended.key.service);
         if let Some(handle) = &handle {
             let mut shard = handle.shard.lock();
-            shard.ended(&session.agent.worker, &ended, Instant::now());
+            let known = shard.ended(&session.agent.worker, &ended, Instant::now());
+            drop(shard);
+            self.count_end(&ended, known);
         }
         if let Some(owner) = self.owner() {
             owner.ended(&session.agent, ended);
@@ -230,6 +237,25 @@
         }
     }
 
+    /// Counts the messages of an attempt that did no work, and the run times of the others.
+    fn count_end(&self, ended: &TaskEnded, known: bool) {
+        match ended.outcome {
+            _ if !known => self.metrics.wasted("ended", 1),
+            TaskOutcome::NotStarted(reason) if reason != NotStartedReason::Stopped => {
+                self.metrics.wasted("start", 1);
+                self.metrics.wasted("ended", 1);
+            }
+            TaskOutcome::Done(_) => {
+                let run = Duration::from_micros(ended.run_us);
+                self.metrics.ran(&ended.key.service, run);
+            }
+            TaskOutcome::NotStarted(_)
+            | TaskOutcome::Failed(_)
+            | TaskOutcome::Stopped
+            | TaskOutcome::ResultDropped => {}
+        }
+    }
+
     fn drain(&self, session: &Session) {
         for service in session.services() {
             if let Some(handle) = self.service(&service) {
--- a/crates/masticcross-entry/src/dispatch/session.rs
+++ b/crates/masticcross-entry/src/dispatch/session.rs
@@ -8,6 +8,7 @@
 use parking_lot::{Mutex, MutexGuard, RwLock};
 use tokio::sync::{mpsc, watch};
 
+use super::metrics::Metrics;
 use crate::owner::AgentId;
 
 /// Frames waiting towards an agent beyond which no task is sent, so that control frames never wait
@@ -23,6 +24,7 @@
     /// Availability zone of the worker.
     pub zone: Name,
     tx: mpsc::Sender<Frame>,
+    metrics: Metrics,
     open: Mutex<bool>,
     closing: watch::Sender<Option<Code>>,
     services: Mutex<BTreeSet<Name>>,
@@ -32,7 +34,7 @@
 impl Session {
     /// Creates the session that a hello announces.
     #[must_use]
-    pub fn new(hello: &Hello, tx: mpsc::Sender<Frame>) -> Arc<Self> {
+    pub fn new(hello: &Hello, tx: mpsc::Sender<Frame>, metrics: Metrics) -> Arc<Self> {
         Arc::new(Self {
             agent: AgentId {
                 worker: hello.name.clone(),
@@ -41,6 +43,7 @@
             number: hello.session,
             zone: hello.zone.clone(),
             tx,
+            metrics,
             open: Mutex::new(true),
             closing: watch::Sender::new(None),
             services: Mutex::default(),
@@ -62,13 +65,17 @@
 
     /// Sends a frame without waiting. If the queue is full, the session closes.
     pub fn send(&self, frame: Frame) -> bool {
-        match self.tx.try_send(frame) {
-            Ok(()) => true,
-            Err(mpsc::error::TrySendError::Full(_)) => {
+        match self.tx.try_reserve() {
+            Ok(permit) => {
+                self.metrics.sent(&frame);
+                permit.send(frame);
+                true
+            }
+            Err(mpsc::error::TrySendError::Full(())) => {
                 self.close(Code::SlowReader);
                 false
             }
-            Err(mpsc::error::TrySendError::Closed(_)) => false,
+            Err(mpsc::error::TrySendError::Closed(())) => false,
         }
     }
 
--- a/crates/masticcross-entry/src/dispatch/shard.rs
+++ b/crates/masticcross-entry/src/dispatch/shard.rs
@@ -14,6 +14,7 @@
 use super::Waiting;
 use super::blame::{Blame, Verdict};
 use super::demand::DemandSignal;
+use super::metrics::Levels;
 use super::queue::{FairQueue, QueuePolicy};
 use super::reservation::Reservations;
 use super::runtime::RunTimes;
@@ -129,6 +130,19 @@
         self.queue.len()
     }
 
+    /// Returns the figures for the metrics.
+    #[must_use]
+    pub fn levels(&self) -> Levels {
+        let (workers, workers_out) = self.workers.count_out();
+        Levels {
+            waiting: self.queue.len(),
+            outstanding: self.workers.outstanding(),
+            credits: self.workers.credits(),
+            workers,
+            workers_out,
+        }
+    }
+
     /// Returns the workers.
     #[must_use]
     pub fn workers(&self) -> &Workers {
--- /dev/null
+++ b/crates/masticcross-entry/src/dispatch/tests/mod.rs
@@ -0,0 +1,62 @@
+//! Tests of the decisions about one service, without sessions.
+
+mod queue;
+mod shard;
+mod workers;
+
+use std::time::Duration;
+
+use masticcross_basics::timeline::Stamp;
+use masticcross_basics::{AttemptId, Epoch, JobKey, Name};
+use masticcross_wire::{TaskEnded, TaskOutcome};
+use tokio::time::Instant;
+
+use super::Waiting;
+use super::workers::Connected;
+
+const SERVICE: &str = "quote-desk";
+
+fn key(job: &str) -> JobKey {
+    JobKey::new(SERVICE, job).expect("a valid id")
+}
+
+fn waiting(job: &str, team: &str, tasks: u16, arrived: Instant) -> Vec<Waiting> {
+    let task = |index| Waiting {
+        key: key(job),
+        index,
+        team: Name::from(team),
+        deadline: arrived + Duration::from_secs(10),
+        arrived,
+        job_tasks: tasks,
+        avoid: Vec::new(),
+    };
+    (0..tasks).map(task).collect()
+}
+
+fn connected(worker: &str, zone: &str, number: u64, slots: u32) -> Connected {
+    Connected {
+        worker: Name::from(worker),
+        incarnation: 1,
+        zone: Name::from(zone),
+        number,
+        slots,
+    }
+}
+
+fn attempt(seq: u64) -> AttemptId {
+    AttemptId {
+        epoch: Epoch(1),
+        seq,
+    }
+}
+
+fn ended(job: &str, seq: u64, outcome: TaskOutcome, run: Duration) -> TaskEnded {
+    TaskEnded {
+        key: key(job),
+        index: 0,
+        attempt: attempt(seq),
+        outcome,
+        run_us: u64::try_from(run.as_micros()).expect("a short time"),
+        stamp: Stamp::default(),
+    }
+}
--- a/crates/masticcross-entry/src/entry.rs
+++ b/crates/masticcross-entry/src/entry.rs
@@ -12,7 +12,6 @@
 use masticcross_log::Log;
 use masticcross_wire::ws::{self, SharedSecret, WsDialer};
 use masticcross_wire::{Frame, Incarnation, Link, Role};
-use prometheus::Registry;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
@@ -103,7 +102,7 @@
             identity.clone(),
             agreement.clone(),
             timeline.clone(),
-            Registry::new(),
+            dispatch.registry().clone(),
             draining.clone(),
         );
         let operators = HttpServer::start(
--- /dev/null
+++ b/crates/masticcross-entry/tests/dispatch.rs
@@ -0,0 +1,211 @@
+//! Sessions of agents at an entry: one for each worker, heartbeats, and closes with a code.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use masticcross_basics::timeline::{Stamp, Timeline};
+use masticcross_basics::{Code, Epoch, Name, Partition};
+use masticcross_entry::Identity;
+use masticcross_entry::dispatch::Dispatch;
+use masticcross_ledger::{Agreement, LedgerIdentity};
+use masticcross_standins::log::{MemoryLog, MemoryLogSettings};
+use masticcross_wire::{
+    BackendInfo, Frame, Gather, Gathered, Hello, Link, PROTOCOL_VERSION, Ping, Role, ViewVersion,
+};
+use tokio::time::sleep;
+
+fn dispatch() -> Arc<Dispatch> {
+    let identity = Identity {
+        name: Name::from("entry-1"),
+        incarnation: 1,
+        region: Name::from("perth"),
+        zone: Name::from("near"),
+        peer_addr: ([127, 0, 0, 1], 1).into(),
+    };
+    let ledger = LedgerIdentity {
+        name: identity.name.clone(),
+        incarnation: identity.incarnation,
+        region: identity.region.clone(),
+    };
+    let log = MemoryLog::new(MemoryLogSettings::default());
+    let timeline = Timeline::new(identity.name.clone(), 100);
+    let agreement = Agreement::new(ledger, Arc::new(log), timeline.clone());
+    Dispatch::new(identity, agreement, timeline)
+}
+
+fn hello(incarnation: u64, session: u64) -> Hello {
+    Hello {
+        protocol: PROTOCOL_VERSION,
+        role: Role::Agent,
+        name: Name::from("worker-1"),
+        incarnation,
+        zone: Name::from("near"),
+        session,
+    }
+}
+
+/// Opens a session, and returns the agent's end after the entry's hello.
+async fn open(dispatch: &Arc<Dispatch>, hello: Hello) -> Link {
+    let (mut agent, entry) = Link::pair();
+    tokio::spawn(dispatch.clone().serve_agent(hello, entry));
+    assert!(matches!(agent.rx.recv().await, Some(Frame::Hello(_))));
+    agent
+}
+
+/// Returns the code of the goodbye that ends the session.
+async fn closing_code(link: &mut Link) -> Option<Code> {
+    while let Some(frame) = link.rx.recv().await {
+        if let Frame::Goodbye(goodbye) = frame {
+            return Some(goodbye.code);
+        }
+    }
+    None
+}
+
+fn ping(nonce: u64) -> Frame {
+    Frame::Ping(Ping {
+        nonce,
+        known: ViewVersion::default(),
+        stamp: Stamp::default(),
+    })
+}
+
+#[tokio::test(start_paused = true)]
+async fn another_protocol_version_is_turned_away() {
+    let dispatch = dispatch();
+    let mut other = hello(1, 1);
+    other.protocol += 1;
+    let mut link = open(&dispatch, other).await;
+    assert_eq!(closing_code(&mut link).await, Some(Code::ProtocolVersion));
+    assert!(dispatch.connected().is_empty());
+}
+
+/// Names a case: incarnation and session of the first and the second session, and whether the
+/// second one replaces the first.
+macro_rules! second_session_cases {
+    ($($name:ident: $first:expr, $second:expr => $replaces:literal;)*) => {
+        $(
+            #[tokio::test(start_paused = true)]
+            async fn $name() {
+                let dispatch = dispatch();
+                let (incarnation, session) = $first;
+                let mut first = open(&dispatch, hello(incarnation, session)).await;
+                let (incarnation, session) = $second;
+                let mut second = open(&dispatch, hello(incarnation, session)).await;
+                let closed = if $replaces { &mut first } else { &mut second };
+                assert_eq!(closing_code(closed).await, Some(Code::Superseded));
+                sleep(Duration::from_millis(10)).await;
+                let kept = if $replaces { $second } else { $first };
+                assert_eq!(dispatch.connected()[0].incarnation, kept.0);
+            }
+        )*
+    };
+}
+
+second_session_cases! {
+    a_newer_session_replaces_the_older_one: (1, 1), (1, 2) => true;
+    a_newer_incarnation_replaces_the_older_one: (1, 5), (2, 1) => true;
+    an_older_session_is_turned_away: (1, 2), (1, 1) => false;
+    the_same_session_is_turned_away: (1, 2), (1, 2) => false;
+    an_older_incarnation_is_turned_away: (2, 1), (1, 5) => false;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_ping_is_answered_and_has_no_age_before_the_log_was_read() {
+    let dispatch = dispatch();
+    let mut link = open(&dispatch, hello(1, 1)).await;
+    link.tx.send(ping(7)).await.unwrap();
+    let Some(Frame::Pong(pong)) = link.rx.recv().await else {
+        panic!("no answer");
+    };
+    assert_eq!((pong.nonce, pong.age_ms, pong.view), (7, None, None));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_silent_agent_is_given_up() {
+    let dispatch = dispatch();
+    let mut link = open(&dispatch, hello(1, 1)).await;
+    assert_eq!(closing_code(&mut link).await, Some(Code::SessionTimeout));
+    assert!(dispatch.connected().is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn pings_keep_a_session_open() {
+    let dispatch = dispatch();
+    let link = open(&dispatch, hello(1, 1)).await;
+    for nonce in 0..20 {
+        link.tx.send(ping(nonce)).await.unwrap();
+        sleep(Duration::from_millis(500)).await;
+    }
+    assert_eq!(dispatch.connected().len(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_frame_that_no_agent_sends_closes_the_session() {
+    let dispatch = dispatch();
+    let mut link = open(&dispatch, hello(1, 1)).await;
+    link.tx.send(Frame::Release(Vec::new())).await.unwrap();
+    assert_eq!(closing_code(&mut link).await, Some(Code::MalformedFrame));
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_agent_that_does_not_read_is_closed() {
+    let dispatch = dispatch();
+    let link = open(&dispatch, hello(1, 1)).await;
+    for _ in 0..=masticcross_wire::link::QUEUE_FRAMES {
+        dispatch.gather(Partition(1), Epoch(1));
+    }
+    sleep(Duration::from_millis(10)).await;
+    assert!(dispatch.connected().is_empty());
+    drop(link);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_partition_is_gathered_from_connected_agents() {
+    let dispatch = dispatch();
+    let mut link = open(&dispatch, hello(1, 1)).await;
+    let agents = dispatch.connected();
+    assert!(dispatch.gather_from(&agents[0], Partition(3), Epoch(9)));
+    let asked = Gather {
+        partition: Partition(3),
+        epoch: Epoch(9),
+    };
+    assert_eq!(link.rx.recv().await, Some(Frame::Gather(asked)));
+    let answer = Gathered {
+        partition: Partition(3),
+        epoch: Epoch(9),
+        attempts: Vec::new(),
+        last: true,
+    };
+    link.tx.send(Frame::Gathered(answer)).await.unwrap();
+    drop(link);
+    sleep(Duration::from_millis(10)).await;
+    assert!(!dispatch.gather_from(&agents[0], Partition(3), Epoch(9)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn messages_are_counted_by_kind() {
+    let dispatch = dispatch();
+    let mut link = open(&dispatch, hello(1, 1)).await;
+    link.tx.send(ping(1)).await.unwrap();
+    let backend = BackendInfo {
+        name: Name::from("b"),
+        service: Name::from("quote-desk"),
+        slots: 8,
+    };
+    link.tx.send(Frame::Backends(vec![backend])).await.unwrap();
+    link.rx.recv().await;
+    sleep(Duration::from_millis(10)).await;
+    let metrics = dispatch.registry().gather();
+    let messages = metrics
+        .iter()
+        .find(|m| m.name() == "masticcross_agent_messages_total")
+        .expect("the counter");
+    let count: f64 = messages
+        .get_metric()
+        .iter()
+        .map(|m| m.get_counter().get_value())
+        .sum();
+    // A hello, a ping, a pong and a list of backend servers.
+    assert!((count - 4.0).abs() < f64::EPSILON, "{count}");
+}
