--- a/crates/masticcross-entry/src/dispatch/tests/queue.rs
+++ b/crates/masticcross-entry/src/dispatch/tests/queue.rs
@@ -78,7 +78,7 @@
     let start = Instant::now();
     push(&mut queue, "large", "t", 100, start);
     // The large job is moved back by 4 * 100 * 0.1 s, a small one by 0.4 s.
-    let later = start + Duration::from_secs(60);
+    let later = start + Duration::from_mins(1);
     push(&mut queue, "small", "t", 1, later);
     assert_eq!(pop_jobs(&mut queue), ["large", "small"]);
 }
--- a/crates/masticcross-standins/examples/policy.rs
+++ b/crates/masticcross-standins/examples/policy.rs
@@ -4,18 +4,31 @@
 
 use masticcross_entry::dispatch::queue::{JobOrder, QueuePolicy};
 use masticcross_entry::dispatch::workers::PlacementRule;
-use masticcross_standins::experiment::{Mix, Report, Setup, run};
+use masticcross_standins::experiment::{Action, Behaviour, Mix, Report, Setup, run};
 
 const LOADS: [f64; 6] = [0.5, 0.7, 0.9, 1.0, 1.5, 3.0];
 
 fn main() {
     orders();
     rules();
+    faults();
 }
 
-fn print_row(name: &str, load: f64, report: &Report) {
+fn secs(secs: u64) -> Duration {
+    Duration::from_secs(secs)
+}
+
+fn print_head(title: &str) {
+    println!("\n{title}\n");
+    println!("| | load | p50 | p95 | p99 | complete | refused | failed | goodput |");
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+}
+
+fn print_row(name: &str, setup: &Setup) -> Report {
+    let report = run(setup);
     println!(
-        "| {name} | {load:.1} | {:.3} | {:.3} | {:.3} | {} | {} | {} | {:.3} |",
+        "| {name} | {:.1} | {:.3} | {:.3} | {:.3} | {} | {} | {} | {:.3} |",
+        setup.load,
         report.ratio(0.5),
         report.ratio(0.95),
         report.ratio(0.99),
@@ -24,12 +37,7 @@
         report.failures(),
         report.goodput(),
     );
-}
-
-fn print_head(title: &str) {
-    println!("\n{title}\n");
-    println!("| | load | p50 | p95 | p99 | complete | refused | failed | goodput |");
-    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    report
 }
 
 fn orders() {
@@ -51,32 +59,75 @@
                     mix,
                     ..Setup::default()
                 };
-                print_row(&format!("{order:?}"), load, &run(&setup));
+                print_row(&format!("{order:?}"), &setup);
             }
         }
     }
 }
 
 fn rules() {
-    use masticcross_standins::experiment::{Action, Behaviour};
-    print_head("Placement rules, one worker slow by 10");
-    for rule in [
-        PlacementRule::Random,
-        PlacementRule::RoundRobin,
-        PlacementRule::LeastOutstanding,
-        PlacementRule::SpeedAware,
-    ] {
-        for load in [0.5, 0.7, 0.9] {
-            let setup = Setup {
-                rule,
-                load,
-                actions: vec![(
-                    Duration::from_secs(30),
-                    Action::Behave(3, Behaviour::Slow(10.0)),
-                )],
-                ..Setup::default()
-            };
-            print_row(&format!("{rule:?}"), load, &run(&setup));
+    let slow = (secs(30), Action::Behave(3, Behaviour::Slow(10.0)));
+    for (title, actions) in [("even", vec![]), ("one slow by 10", vec![slow])] {
+        print_head(&format!("Placement rules, workers {title}"));
+        for rule in [
+            PlacementRule::Random,
+            PlacementRule::RoundRobin,
+            PlacementRule::LeastOutstanding,
+            PlacementRule::SpeedAware,
+        ] {
+            for load in [0.7, 0.9] {
+                let setup = Setup {
+                    rule,
+                    load,
+                    actions: actions.clone(),
+                    ..Setup::default()
+                };
+                print_row(&format!("{rule:?}"), &setup);
+            }
+        }
+    }
+}
+
+fn faults() {
+    print_head("Faults at 70% load, from 30 s on");
+    let bad = |behaviour| vec![(secs(30), Action::Behave(3, behaviour))];
+    let burst = vec![
+        (secs(60), Action::Rate(10.0)),
+        (secs(62), Action::Rate(1.0)),
+    ];
+    let zone = vec![
+        (secs(60), Action::ZoneOut(1)),
+        (secs(120), Action::ZoneBack(1)),
+    ];
+    let cases = [
+        ("none", vec![]),
+        ("fails everything", bad(Behaviour::FailAll)),
+        ("fails half", bad(Behaviour::FailSome(0.5))),
+        ("slow by 10", bad(Behaviour::Slow(10.0))),
+        ("hangs", bad(Behaviour::Hang)),
+        ("burst of 10 for 2 s", burst),
+        ("half cancelled", vec![(secs(60), Action::CancelHalf)]),
+        ("zone out for 60 s", zone),
+    ];
+    for (name, actions) in cases {
+        let setup = Setup {
+            actions,
+            ..Setup::default()
+        };
+        let report = print_row(name, &setup);
+        let failures: u64 = report.task_failures.values().sum();
+        eprintln!(
+            "{name}: {failures} tasks failed, {} retries, {} demand frames, {} starts, {:?}, {:?}",
+            report.retries, report.demands, report.starts, report.failed, report.refused
+        );
+        if name.starts_with("zone") {
+            let starts = |from, to| report.starts_in(1, secs(from), secs(to));
+            eprintln!(
+                "starts in the zone a second: before {}, out {}, back {:?}",
+                starts(30, 60) / 30,
+                starts(61, 120),
+                [120, 121, 122, 123].map(|s| starts(s, s + 1))
+            );
         }
     }
 }
