Check, diff and status from the command line; publish waits until a version is in force

Cause: operators could publish but neither look before nor see where a version is in force. Conclusion: a change can be followed to its end.

--- a/crates/masticcross-agent/src/http/mod.rs
+++ b/crates/masticcross-agent/src/http/mod.rs
@@ -73,6 +73,7 @@
         route.get("/health").to(operators::health);
         route.get("/ready").to(operators::ready);
         route.get("/metrics").to(operators::metrics);
+        route.get("/v1/status").to(operators::status);
         route.get("/v1/timeline").to(operators::timeline);
     })
 }
--- a/crates/masticcross-agent/src/http/operators.rs
+++ b/crates/masticcross-agent/src/http/operators.rs
@@ -5,6 +5,8 @@
 use gotham::state::State;
 use http::{Response, StatusCode};
 
+use masticcross_basics::ProcessStatus;
+
 use super::{AgentHandle, answer};
 use crate::core::Stats;
 
@@ -44,6 +46,26 @@
     None
 }
 
+/// Writes the state of the agent.
+pub fn status(mut state: State) -> (State, Response<Body>) {
+    let AgentHandle(agent) = AgentHandle::take_from(&mut state);
+    let now = agent.stats();
+    let identity = agent.core().identity();
+    let view = agent.core().view().view();
+    let body = ProcessStatus {
+        name: identity.name.to_string(),
+        zone: identity.zone.to_string(),
+        config_version: view.map_or(0, |view| view.config_version),
+        view_age_ms: now
+            .view_age
+            .and_then(|age| u64::try_from(age.as_millis()).ok()),
+        fresh: now.view_fresh,
+        draining: now.draining,
+    };
+    let resp = answer::json(&state, StatusCode::OK, &body);
+    (state, resp)
+}
+
 /// Writes the metrics.
 pub fn metrics(mut state: State) -> (State, Response<Body>) {
     let AgentHandle(agent) = AgentHandle::take_from(&mut state);
--- a/crates/masticcross-basics/src/lib.rs
+++ b/crates/masticcross-basics/src/lib.rs
@@ -12,8 +12,10 @@
 pub mod job;
 pub mod logging;
 pub mod name;
+pub mod status;
 pub mod timeline;
 
 pub use code::Code;
 pub use job::{AttemptId, Digest, Epoch, JobKey, PARTITIONS, Partition, TaskIndex};
 pub use name::{Name, NameError};
+pub use status::ProcessStatus;
--- a/crates/masticcross-entry/src/http/operators.rs
+++ b/crates/masticcross-entry/src/http/operators.rs
@@ -13,6 +13,7 @@
 use gotham::router::builder::build_router;
 use gotham::state::State;
 use http::StatusCode;
+use masticcross_basics::ProcessStatus;
 use masticcross_basics::timeline::Timeline;
 use masticcross_ledger::Agreement;
 use prometheus::{Registry, TextEncoder};
@@ -37,14 +38,10 @@
 /// State of one entry, as operators read it.
 #[derive(Debug, Serialize)]
 struct Status {
-    name: String,
-    zone: String,
+    #[serde(flatten)]
+    process: ProcessStatus,
     region: String,
     incarnation: u64,
-    config_version: u64,
-    view_age_ms: Option<u64>,
-    fresh: bool,
-    draining: bool,
     members: Vec<String>,
     agents: Vec<AgentStatus>,
     partitions_owned: usize,
@@ -108,14 +105,16 @@
             zone: agent.zone.to_string(),
         });
         Status {
-            name: inner.identity.name.to_string(),
-            zone: inner.identity.zone.to_string(),
+            process: ProcessStatus {
+                name: inner.identity.name.to_string(),
+                zone: inner.identity.zone.to_string(),
+                config_version: state.config.version,
+                view_age_ms: age.and_then(|age| u64::try_from(age.as_millis()).ok()),
+                fresh: inner.agreement.is_fresh(),
+                draining: self.is_draining(),
+            },
             region: inner.identity.region.to_string(),
             incarnation: inner.identity.incarnation,
-            config_version: state.config.version,
-            view_age_ms: age.and_then(|age| u64::try_from(age.as_millis()).ok()),
-            fresh: inner.agreement.is_fresh(),
-            draining: self.is_draining(),
             members: state.members.keys().map(ToString::to_string).collect(),
             agents: agents.collect(),
             partitions_owned: state.partitions.iter().filter(mine).count(),
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,9 +1,11 @@
 //! The subcommands, one module each.
 
+pub mod check;
 pub mod demo;
 pub mod load;
 pub mod publish;
 pub mod serve;
+pub mod status;
 pub mod timeline;
 
 use eyre::{Result, WrapErr};
@@ -18,12 +20,18 @@
     Demo(demo::Args),
     /// Send jobs and report what callers see.
     Load(LoadArgs),
+    /// Check a configuration document.
+    Check(check::CheckArgs),
+    /// Compare a document with the one in force.
+    Diff(check::DiffArgs),
     /// Publish a configuration document.
     Publish(publish::PublishArgs),
     /// Take an availability zone out of service.
     Drain(publish::ZoneArgs),
     /// Bring an availability zone back into service.
     Restore(publish::ZoneArgs),
+    /// Show the version in force at each process.
+    Status(status::Args),
     /// Show the events of all processes in one order.
     Timeline(timeline::Args),
 }
@@ -38,9 +46,12 @@
             Self::Serve(args) => serve::execute(args),
             Self::Demo(args) => demo::execute(args),
             Self::Load(args) => load::execute(args),
+            Self::Check(args) => check::execute_check(&args),
+            Self::Diff(args) => check::execute_diff(&args),
             Self::Publish(args) => publish::execute(&args),
             Self::Drain(args) => publish::execute_zone(&args, false),
             Self::Restore(args) => publish::execute_zone(&args, true),
+            Self::Status(args) => status::execute(&args),
             Self::Timeline(args) => timeline::execute(&args),
         }
     }
--- a/src/cmd/publish.rs
+++ b/src/cmd/publish.rs
@@ -1,17 +1,24 @@
 //! `masticcross publish`, `drain` and `restore`: put a configuration into force.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::time::Duration;
 
 use bpaf::{Parser, construct, long, positional};
-use eyre::{Result, WrapErr, bail};
+use eyre::{Result, bail};
 use masticcross_basics::Name;
-use masticcross_config::Document;
+use masticcross_config::check;
 use masticcross_config::edit::set_zone_in_service;
 use masticcross_ledger::publish::{PublishOutcome, publish, read_config};
 use masticcross_log::{HttpLog, HttpLogSettings};
 
+use super::check::{print_findings, read};
+use super::status::{operators_option, wait_in_force};
 use super::{Command, runtime};
 
+/// Longest wait until a version is in force everywhere.
+const IN_FORCE_LIMIT: Duration = Duration::from_secs(20);
+
 /// Arguments of `publish`.
 #[derive(Debug, Clone)]
 pub struct PublishArgs {
@@ -30,28 +37,46 @@
 /// Where and as whom to publish.
 #[derive(Debug, Clone)]
 struct Target {
-    log: std::net::SocketAddr,
+    log: SocketAddr,
     author: String,
+    operators: Vec<SocketAddr>,
 }
 
 impl Target {
-    fn open(&self) -> HttpLog {
-        let client = Name::from("operator");
-        HttpLog::new(HttpLogSettings::new(self.log.to_string(), client))
+    /// Publishes a document made from a version, and waits until it is in force.
+    async fn publish(&self, base: u64, text: &str) -> Result<()> {
+        let log = log_client(self.log);
+        let version = accepted(publish(&log, base, &self.author, text).await?)?;
+        println!("Accepted as version {version}.");
+        if self.operators.is_empty() {
+            return Ok(());
+        }
+        wait_in_force(&self.operators, version, IN_FORCE_LIMIT).await
     }
 }
 
+/// Opens the platform's log for an operator.
+pub fn log_client(log: SocketAddr) -> HttpLog {
+    let client = Name::from("operator");
+    HttpLog::new(HttpLogSettings::new(log.to_string(), client))
+}
+
 fn target() -> impl Parser<Target> {
     let log = long("log")
         .env("MASTICCROSS_LOG")
         .help("IP and port of the platform's log")
-        .argument::<std::net::SocketAddr>("IP:PORT");
+        .argument::<SocketAddr>("IP:PORT");
     let author = long("author")
         .env("USER")
         .help("who publishes")
         .argument::<String>("NAME")
         .fallback("operator".to_owned());
-    construct!(Target { log, author })
+    let operators = operators_option().many();
+    construct!(Target {
+        log,
+        author,
+        operators,
+    })
 }
 
 /// Returns the parser of `publish`.
@@ -101,16 +126,23 @@
 /// # Errors
 /// Fails if the document is not valid or was not accepted.
 pub fn execute(args: &PublishArgs) -> Result<()> {
-    let text = std::fs::read_to_string(&args.file)
-        .wrap_err_with(|| format!("cannot read {}", args.file.display()))?;
-    Document::parse(&text).wrap_err_with(|| format!("{} is not valid", args.file.display()))?;
+    let text = read(&args.file)?;
+    let report = check(&text);
+    print_findings(&report);
+    if report.document.is_none() {
+        bail!("{} is not valid", args.file.display());
+    }
     runtime()?.block_on(async {
-        let log = args.target.open();
         let base = match args.base {
             Some(base) => base,
-            None => read_config(&log).await?.config.version,
+            None => {
+                read_config(&log_client(args.target.log))
+                    .await?
+                    .config
+                    .version
+            }
         };
-        report(publish(&log, base, &args.target.author, &text).await?)
+        args.target.publish(base, &text).await
     })
 }
 
@@ -120,19 +152,16 @@
 /// Fails if the zone is not configured or the document was not accepted.
 pub fn execute_zone(args: &ZoneArgs, in_service: bool) -> Result<()> {
     runtime()?.block_on(async {
-        let log = args.target.open();
-        let config = read_config(&log).await?.config;
+        let config = read_config(&log_client(args.target.log)).await?.config;
         let text = set_zone_in_service(&config.text, &args.zone, in_service)?;
-        report(publish(&log, config.version, &args.target.author, &text).await?)
+        print_findings(&check(&text));
+        args.target.publish(config.version, &text).await
     })
 }
 
-fn report(outcome: PublishOutcome) -> Result<()> {
+fn accepted(outcome: PublishOutcome) -> Result<u64> {
     match outcome {
-        PublishOutcome::Accepted(version) => {
-            println!("Accepted as version {version}.");
-            Ok(())
-        }
+        PublishOutcome::Accepted(version) => Ok(version),
         PublishOutcome::Conflict { by, version } => {
             bail!("not accepted: {by} published version {version} on the same base")
         }
--- a/src/cmd/timeline.rs
+++ b/src/cmd/timeline.rs
@@ -10,6 +10,7 @@
 use masticcross_standins::http::client::Client;
 use masticcross_timeline::{Filter, filter, merge, picture, text};
 
+use super::status::operators_option;
 use super::{Command, runtime};
 
 /// Longest wait for the events of one process.
@@ -26,10 +27,7 @@
 
 /// Returns the parser of the command.
 pub fn command() -> impl Parser<Command> {
-    let operators = long("operators")
-        .help("IP and port of a process's operators' port, entry or agent; may be repeated")
-        .argument::<SocketAddr>("IP:PORT")
-        .some("name at least one --operators IP:PORT");
+    let operators = operators_option().some("name at least one --operators IP:PORT");
     let filter = filter::filter();
     let json = long("json").help("write JSON lines").switch();
     let html = long("html")
--- a/src/main.rs
+++ b/src/main.rs
@@ -42,9 +42,14 @@
     let serve = cmd::serve::command();
     let demo = cmd::demo::command();
     let load = cmd::load::command();
+    let check = cmd::check::check_command();
+    let diff = cmd::check::diff_command();
     let publish = cmd::publish::publish_command();
     let drain = cmd::publish::drain_command();
     let restore = cmd::publish::restore_command();
+    let status = cmd::status::command();
     let timeline = cmd::timeline::command();
-    construct!([serve, demo, load, publish, drain, restore, timeline])
+    construct!([
+        serve, demo, load, check, diff, publish, drain, restore, status, timeline
+    ])
 }
