--- a/crates/masticcross-log/src/http/tests.rs
+++ b/crates/masticcross-log/src/http/tests.rs
@@ -7,6 +7,9 @@
 
 use super::*;
 
+/// Longer than any call of a test takes.
+const LONG: Duration = Duration::from_secs(30);
+
 fn reply(status: u16, body: &str) -> Reply {
     make_reply(status, &[], body)
 }
@@ -147,6 +150,8 @@
                 let address = raw_server($bytes).await;
                 let mut settings = HttpLogSettings::new(address, Name::from("test"));
                 settings.max_reply_bytes = 16;
+                settings.connect_timeout = LONG;
+                settings.append_timeout = LONG;
                 let log = HttpLog::new(settings);
                 let append = log.append("s", Arc::from("a")).await;
                 assert!(matches!(append, Err(LogError::Unknown(_))), "got {append:?}");
