--- a/crates/masticcross-agent/tests/support/mod.rs
+++ b/crates/masticcross-agent/tests/support/mod.rs
@@ -1,5 +1,7 @@
 //! An entry in memory and a backend server in memory, for tests of a whole agent.
 
+#![allow(dead_code, reason = "each test program uses a part")]
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,7 +11,7 @@
     Agent, Announcement, BackendClient, RunOutcome, Settings, StartGate, TaskBody,
 };
 use masticcross_basics::timeline::{Stamp, Timeline};
-use masticcross_basics::{AttemptId, Epoch, JobKey, Name, PARTITIONS};
+use masticcross_basics::{AttemptId, Code, Epoch, JobKey, Name, PARTITIONS};
 use masticcross_wire::{
     AgentView, Dialer, Frame, Hello, Link, Member, PROTOCOL_VERSION, PartitionOwner, Ping, Pong,
     Role, StartTasks, TaskEnded, TaskStart, ViewVersion, link,
@@ -82,36 +84,42 @@
     }
 }
 
-/// An agent with the test in the place of its entries and its backend server.
+/// An agent with the test in the place of its entries.
 pub struct Rig {
     /// The agent.
     pub agent: Arc<Agent>,
-    /// The backend server.
+    /// The backend server in memory, if that is the one that the agent has.
     pub backend: Arc<MemoryBackend>,
     links: mpsc::UnboundedReceiver<Link>,
 }
 
 impl Rig {
-    /// Starts an agent with one announced backend server of 4 slots.
+    /// Starts an agent with one announced backend server of 4 slots in memory.
     pub fn start(run_time: Duration) -> Self {
-        let (tx, links) = mpsc::unbounded_channel();
         let backend = Arc::new(MemoryBackend {
             run_time,
             ..MemoryBackend::default()
         });
+        let client = Arc::new(SharedBackend(backend.clone()));
+        let rig = Self {
+            backend,
+            ..Self::with_client(client)
+        };
+        rig.agent.announce(announcement());
+        rig
+    }
+
+    /// Starts an agent that reaches its backend servers by a client.
+    pub fn with_client(client: Arc<dyn BackendClient>) -> Self {
+        let (tx, links) = mpsc::unbounded_channel();
         let settings = Settings::new("w1".into(), "z1".into(), vec![entry_addr()], 1);
-        let agent = Agent::new(
-            settings,
-            Arc::new(MemoryDialer(tx)),
-            Arc::new(SharedBackend(backend.clone())),
-            Timeline::new("w1".into(), 1_000),
-        )
-        .expect("metrics register");
+        let timeline = Timeline::new("w1".into(), 1_000);
+        let agent = Agent::new(settings, Arc::new(MemoryDialer(tx)), client, timeline)
+            .expect("metrics register");
         tokio::spawn(agent.clone().run());
-        agent.announce(announcement());
         Self {
             agent,
-            backend,
+            backend: Arc::default(),
             links,
         }
     }
@@ -158,6 +166,22 @@
         self.link.tx.try_send(frame).expect("the session is open");
     }
 
+    /// Sends a frame, or returns false if the session is closed.
+    pub fn try_send(&self, frame: Frame) -> bool {
+        self.link.tx.try_send(frame).is_ok()
+    }
+
+    /// Reads the session to its end without an answer, and returns the code of its close.
+    pub async fn goodbye(&mut self) -> Option<Code> {
+        let mut code = None;
+        while let Some(frame) = self.link.rx.recv().await {
+            if let Frame::Goodbye(goodbye) = frame {
+                code = Some(goodbye.code);
+            }
+        }
+        code
+    }
+
     /// Waits for a frame that fits and drops the others. Heartbeats are answered meanwhile.
     pub async fn next(&mut self, fits: impl Fn(&Frame) -> bool) -> Frame {
         let wait = async {
--- a/crates/masticcross-config/src/lib.rs
+++ b/crates/masticcross-config/src/lib.rs
@@ -8,8 +8,14 @@
 //! assert!(doc.services.contains_key("quote-desk"));
 //! ```
 
+pub mod check;
 pub mod document;
 pub mod edit;
 pub mod samples;
+pub mod schema;
 
+#[cfg(test)]
+mod tests;
+
+pub use check::{Finding, Report, Severity, check};
 pub use document::{Document, Limits, Service, Team, Times, Zone};
--- a/crates/masticcross-entry/tests/schedules.rs
+++ b/crates/masticcross-entry/tests/schedules.rs
@@ -2,10 +2,13 @@
 
 mod support;
 
+use std::collections::BTreeMap;
+
+use quickcheck::Arbitrary;
 use support::node::EntrySettings;
 use support::observer::Counts;
 use support::on_paused_clock;
-use support::schedule::{Fault, Schedule, Step, run};
+use support::schedule::{Fault, Outcome, Schedule, Step, run};
 
 /// Schedules without `MASTICCROSS_SCHEDULES`.
 const SCHEDULES: u64 = 1_000;
@@ -13,28 +16,40 @@
 /// Seed from which the first schedule comes.
 const FIRST_SEED: u64 = 1;
 
-/// What a schedule came to.
-fn outcome(schedule: &Schedule, settings: &EntrySettings) -> Result<Counts, String> {
-    let (broken, counts, timeline) = on_paused_clock(run(schedule, settings.clone()));
-    if broken.is_empty() {
-        return Ok(counts);
+/// Runs a schedule. A broken promise is an error with the time line.
+fn outcome(schedule: &Schedule, settings: &EntrySettings) -> Result<Outcome, String> {
+    let outcome = on_paused_clock(run(schedule, settings.clone()));
+    if outcome.broken.is_empty() {
+        return Ok(outcome);
     }
-    Err(format!("{schedule:?}\n{}\n{timeline}", broken.join("\n")))
+    let (broken, timeline) = (outcome.broken.join("\n"), outcome.timeline);
+    Err(format!("{schedule:?}\n{broken}\n{timeline}"))
 }
 
-fn count() -> u64 {
-    let wanted = std::env::var("MASTICCROSS_SCHEDULES");
-    wanted
-        .ok()
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(SCHEDULES)
+/// Leaves out steps of a schedule that fails, for as long as the rest still fails.
+fn smallest(schedule: &Schedule, settings: &EntrySettings) -> String {
+    let mut smallest = schedule.clone();
+    let mut text = outcome(schedule, settings).err().unwrap_or_default();
+    while let Some((fewer, why)) = smallest
+        .shrink()
+        .find_map(|fewer| Some((fewer.clone(), outcome(&fewer, settings).err()?)))
+    {
+        (smallest, text) = (fewer, why);
+    }
+    text
+}
+
+fn from_env(name: &str, default: u64) -> u64 {
+    let wanted = std::env::var(name);
+    let number = wanted.ok().and_then(|text| text.parse().ok());
+    number.unwrap_or(default)
 }
 
 /// Runs the schedules of all seeds, on half of the processors.
 fn run_all(
     seeds: std::ops::Range<u64>,
     settings: &EntrySettings,
-) -> Vec<(u64, Result<Counts, String>)> {
+) -> Vec<(u64, Result<Outcome, String>)> {
     let threads = std::thread::available_parallelism().map_or(1, |n| (n.get() / 2).max(1));
     std::thread::scope(|scope| {
         let workers: Vec<_> = (0..threads)
@@ -51,23 +66,33 @@
 
 #[test]
 fn promises_are_kept_under_every_schedule() {
-    let count = count();
-    let results = run_all(FIRST_SEED..FIRST_SEED + count, &EntrySettings::default());
+    let count = from_env("MASTICCROSS_SCHEDULES", SCHEDULES);
+    let first = from_env("MASTICCROSS_FIRST_SEED", FIRST_SEED);
+    let settings = EntrySettings::default();
+    let results = run_all(first..first + count, &settings);
     let failures: Vec<_> = results
         .iter()
         .filter_map(|(seed, result)| result.as_ref().err().map(|text| (seed, text)))
         .collect();
-    let total = results
+    let mut total = Counts::default();
+    let mut codes: BTreeMap<_, usize> = BTreeMap::new();
+    for outcome in results
         .iter()
         .filter_map(|(_, result)| result.as_ref().ok())
-        .fold(Counts::default(), |sum, counts| sum + *counts);
+    {
+        total = total + outcome.counts;
+        for (code, count) in &outcome.codes {
+            *codes.entry(*code).or_default() += count;
+        }
+    }
     println!("{count} schedules, {} failed; {total:?}", failures.len());
+    println!("refusals and failures by code and \"not run\": {codes:?}");
     let seeds: Vec<_> = failures.iter().map(|(seed, _)| seed).collect();
     assert!(
         failures.is_empty(),
-        "{} of {count} schedules failed, seeds {seeds:?}; the first:\n{}",
+        "{} of {count} schedules failed, seeds {seeds:?}; the first, with the fewest steps:\n{}",
         failures.len(),
-        failures[0].1
+        smallest(&Schedule::of_seed(*failures[0].0), &settings)
     );
 }
 
