--- a/crates/masticcross-agent/src/core/mod.rs
+++ b/crates/masticcross-agent/src/core/mod.rs
@@ -14,9 +14,11 @@
 pub mod backends;
 pub mod credits;
 pub mod queue;
+mod refusals;
 pub mod reports;
 pub mod sessions;
 pub mod starts;
+mod stats;
 pub mod view;
 
 #[cfg(test)]
@@ -24,7 +26,6 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Duration;
 
 use masticcross_basics::timeline::{Event, EventKind, Timeline};
 use masticcross_basics::{AttemptId, Epoch, Name, Partition};
@@ -42,6 +43,7 @@
 use self::reports::Gatherer;
 use self::sessions::{Outlet, Sessions};
 use self::starts::{Run, Running};
+pub use self::stats::Stats;
 use self::view::ViewKeeper;
 
 /// Number of a session, unique in this incarnation.
@@ -70,33 +72,6 @@
     was_fresh: bool,
 }
 
-/// Figures of the present moment.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct Stats {
-    /// Tasks that run.
-    pub running: usize,
-    /// Tasks that wait for a place.
-    pub queued: usize,
-    /// Attempts kept.
-    pub attempts: usize,
-    /// Memory of the attempts kept, in bytes.
-    pub attempt_bytes: usize,
-    /// Ended attempts that no owner has released.
-    pub unreleased: usize,
-    /// Open sessions.
-    pub sessions: usize,
-    /// Backend servers that get tasks.
-    pub backends: usize,
-    /// True while this start of the agent is registered in the log.
-    pub registered: bool,
-    /// Age of the view.
-    pub view_age: Option<Duration>,
-    /// True while the view may be used to start tasks.
-    pub view_fresh: bool,
-    /// True once the agent takes nothing new.
-    pub draining: bool,
-}
-
 impl AgentCore {
     /// Creates an agent that knows nothing yet.
     #[must_use]
@@ -273,25 +248,6 @@
         self.refuse_all_queued(&mut state, NotStartedReason::ShuttingDown, now);
     }
 
-    /// Returns figures of the present moment.
-    #[must_use]
-    pub fn stats(&self, now: Instant) -> Stats {
-        let state = self.state.lock();
-        Stats {
-            running: state.attempts.running(),
-            queued: state.queue.total(),
-            attempts: state.attempts.len(),
-            attempt_bytes: state.attempts.bytes(),
-            unreleased: state.attempts.unreleased(),
-            sessions: self.sessions.len(),
-            backends: state.backends.infos(now).len(),
-            registered: self.view.view().is_some_and(|view| view.registered),
-            view_age: self.view.age(now),
-            view_fresh: self.view.is_fresh(now),
-            draining: state.draining,
-        }
-    }
-
     /// Lists the backend servers, also those that left and still run tasks.
     #[must_use]
     pub fn backends(&self) -> Vec<backends::Backend> {
--- a/crates/masticcross-agent/src/core/starts.rs
+++ b/crates/masticcross-agent/src/core/starts.rs
@@ -281,57 +281,8 @@
         self.timeline.record(event);
     }
 
-    /// Refuses tasks that were taken out of the queue.
-    pub(super) fn refuse(
-        &self,
-        state: &mut State,
-        tasks: &[QueuedTask],
-        reason: NotStartedReason,
-        now: Instant,
-    ) {
-        for task in tasks {
-            self.not_started(state, task.id, reason, now);
-        }
-    }
-
-    pub(super) fn refuse_all_queued(
-        &self,
-        state: &mut State,
-        reason: NotStartedReason,
-        now: Instant,
-    ) {
-        let tasks = state.queue.take(|_| true);
-        self.refuse(state, &tasks, reason, now);
-    }
-
-    pub(super) fn refuse_overdue(&self, state: &mut State, now: Instant) {
-        let tasks = state.queue.take(|task| task.deadline <= now);
-        self.refuse(state, &tasks, NotStartedReason::DeadlinePassed, now);
-    }
-
-    /// Refuses waiting tasks of services that no backend server here serves any more.
-    pub(super) fn refuse_without_backend(&self, state: &mut State, now: Instant) {
-        for service in state.queue.services() {
-            if state.backends.places(&service, now) == 0 {
-                let tasks = state.queue.take(|task| task.key.service == service);
-                self.refuse(state, &tasks, NotStartedReason::NoBackend, now);
-            }
-        }
-    }
-
-    pub(super) fn not_started(
-        &self,
-        state: &mut State,
-        id: AttemptId,
-        reason: NotStartedReason,
-        now: Instant,
-    ) {
-        let outcome = TaskOutcome::NotStarted(reason);
-        self.end(state, id, outcome, Duration::ZERO, now);
-    }
-
     /// Notes the end of an attempt and reports it.
-    fn end(
+    pub(super) fn end(
         &self,
         state: &mut State,
         id: AttemptId,
--- /dev/null
+++ b/crates/masticcross-agent/src/core/tests/reports.rs
@@ -0,0 +1,168 @@
+//! Reports to owners, a bounded memory, and backend servers that come and go.
+
+use super::*;
+
+#[test]
+fn a_new_owner_learns_of_all_attempts_and_gets_later_ends() {
+    let mut rig = Rig::new();
+    let runs = rig.start(&start("job", 1, 1, 4));
+    rig.finish(&runs[0], "7");
+    rig.gather(2, "job", 2);
+    let gathered = rig.gathered(2);
+    let reports: Vec<_> = gathered.iter().flat_map(|g| &g.attempts).collect();
+    let old_epoch = TaskOutcome::NotStarted(NotStartedReason::OldEpoch);
+    let states: Vec<_> = reports.iter().map(|r| &r.state).collect();
+    assert_eq!(
+        states[0],
+        &AttemptState::Ended(TaskOutcome::Done("7".into()))
+    );
+    assert_eq!(states[1], &AttemptState::Running);
+    // The third had taken the first one's place, the fourth was waiting.
+    assert_eq!(states[2], &AttemptState::Running);
+    assert_eq!(states[3], &AttemptState::Ended(old_epoch));
+    assert!(gathered.last().is_some_and(|g| g.last));
+    rig.ended(1);
+    let outcome = RunOutcome::Done("8".into());
+    let _ = rig.core.finished(runs[1].id, outcome, rig.now);
+    assert!(rig.ended(1).is_empty());
+    assert_eq!(rig.outcomes(2), [TaskOutcome::Done("8".into())]);
+}
+
+#[test]
+fn a_gather_answer_is_split_and_its_last_frame_marked() {
+    let mut rig = Rig::new();
+    rig.core.drain(rig.now);
+    let _ = rig.start(&start("job", 1, 1, 600));
+    rig.gather(2, "job", 2);
+    let sizes: Vec<(usize, bool)> = rig
+        .gathered(2)
+        .iter()
+        .map(|g| (g.attempts.len(), g.last))
+        .collect();
+    assert_eq!(sizes, [(256, false), (256, false), (88, true)]);
+}
+
+#[test]
+fn results_move_to_the_owner_of_the_view() {
+    let mut rig = Rig::new();
+    let runs = rig.start(&start("job", 1, 1, 1));
+    rig.finish(&runs[0], "7");
+    rig.offer(view_of_e2(2));
+    assert_eq!(rig.outcomes(2), [TaskOutcome::Done("7".into())]);
+    rig.offer(view_of_e2(3));
+    assert!(rig.ended(2).is_empty(), "sent once on each session");
+}
+
+#[test]
+fn a_former_owner_cannot_stop_what_was_taken_over() {
+    let rig = Rig::new();
+    let runs = rig.start(&start("job", 1, 1, 1));
+    rig.gather(2, "job", 2);
+    let stop = StopTasks {
+        key: key("job"),
+        attempts: vec![id(1, 1)],
+    };
+    rig.core.stop(1, &stop, rig.now);
+    assert!(!*runs[0].stop.borrow());
+    rig.core.stop(2, &stop, rig.now);
+    assert!(*runs[0].stop.borrow());
+}
+
+#[test]
+fn a_stopped_task_that_ends_all_the_same_keeps_its_result() {
+    let mut rig = Rig::new();
+    let runs = rig.start(&start("job", 1, 1, 2));
+    let stop = StopTasks {
+        key: key("job"),
+        attempts: vec![id(1, 1), id(1, 2)],
+    };
+    rig.core.stop(1, &stop, rig.now);
+    let _ = rig
+        .core
+        .finished(runs[0].id, RunOutcome::Done("7".into()), rig.now);
+    let _ = rig
+        .core
+        .finished(runs[1].id, RunOutcome::Failed(String::new()), rig.now);
+    let expected = [TaskOutcome::Done("7".into()), TaskOutcome::Stopped];
+    assert_eq!(rig.outcomes(1), expected);
+}
+
+#[test]
+fn under_pressure_released_results_go_first_and_then_only_results() {
+    let limits = AgentLimits {
+        result_memory: 2_500,
+        ..AgentLimits::default()
+    };
+    let rig = Rig::with_limits(limits);
+    let result = "x".repeat(900);
+    for (seq, job) in [(1, "first"), (2, "second"), (3, "third")] {
+        let runs = rig.start(&start(job, 1, seq, 1));
+        rig.finish(&runs[0], &result);
+        if job == "second" {
+            rig.core.release(&[key(job)], rig.now);
+        }
+    }
+    let kept = |rig: &AgentCore, seq| {
+        let state = rig.state.lock();
+        state.attempts.get(id(1, seq)).map(|a| a.report().state)
+    };
+    let done = AttemptState::Ended(TaskOutcome::Done(result.as_str().into()));
+    assert_eq!(kept(&rig.core, 1), Some(done.clone()));
+    assert_eq!(kept(&rig.core, 2), None, "released, so it went first");
+    assert_eq!(kept(&rig.core, 3), Some(done));
+    let runs = rig.start(&start("fourth", 1, 4, 1));
+    rig.finish(&runs[0], &result);
+    let dropped = AttemptState::Ended(TaskOutcome::ResultDropped);
+    assert_eq!(kept(&rig.core, 1), Some(dropped));
+    assert!(rig.start(&start("first", 1, 5, 1)).is_empty());
+    assert!(rig.core.stats(rig.now).attempt_bytes <= 2_500 + 2 * 400);
+}
+
+#[test]
+fn a_backend_that_cannot_be_reached_pauses_and_comes_back_with_one_task() {
+    let mut rig = Rig::new();
+    let runs = rig.start(&start("job", 1, 1, 1));
+    let refused = RunOutcome::NotSent("refused".to_owned());
+    let _ = rig.core.finished(runs[0].id, refused, rig.now);
+    let reason = TaskOutcome::NotStarted(NotStartedReason::ConnectFailed);
+    assert_eq!(rig.outcomes(1), [reason]);
+    assert!(rig.start(&start("job", 1, 2, 1)).is_empty());
+    rig.now += Duration::from_millis(200);
+    let _ = rig.core.tick(rig.now);
+    let runs = rig.start(&start("job", 1, 3, 2));
+    assert_eq!(runs.len(), 1);
+    assert_eq!(rig.finish(&runs[0], "7").len(), 1);
+    assert_eq!(rig.start(&start("next", 1, 9, 1)).len(), 1);
+}
+
+#[test]
+fn a_backend_whose_time_ended_finishes_what_runs() {
+    let mut rig = Rig::new();
+    let runs = rig.start(&start("job", 1, 1, 1));
+    rig.now += Duration::from_mins(1);
+    let _ = rig.core.tick(rig.now);
+    let infos = rig.frames(1).into_iter().rev().find_map(|f| match f {
+        Frame::Backends(infos) => Some(infos),
+        _ => None,
+    });
+    assert_eq!(infos, Some(Vec::new()));
+    let outcome = RunOutcome::Done("7".into());
+    let _ = rig.core.finished(runs[0].id, outcome, rig.now);
+    assert_eq!(rig.outcomes(1), [TaskOutcome::Done("7".into())]);
+}
+
+#[test]
+fn a_renewal_in_time_keeps_the_backend() {
+    let mut rig = Rig::new();
+    rig.frames(1);
+    rig.now += Duration::from_mins(1).saturating_sub(MS);
+    assert!(rig.core.announce(backend(2), rig.now).is_empty());
+    rig.now += 2 * MS;
+    assert!(rig.core.tick(rig.now).is_empty());
+    assert_eq!(rig.core.stats(rig.now).backends, 1);
+    assert!(
+        !rig.frames(1)
+            .iter()
+            .any(|f| matches!(f, Frame::Backends(_)))
+    );
+}
