Never forward a deadline of zero; register only agents that can be served

Cause: in the last millisecond before a deadline a request was sent again with deadline_ms 0, which an owner refuses as an invalid field and as not run. And an agent of another protocol version was registered although its session is refused, so takeovers would wait for it. Change: at least 1 ms is sent on; entry.rs (a few lines) registers after the version matches. Conclusion: no test reaches the last millisecond; found by reading.

--- a/crates/masticcross-entry/src/entry.rs
+++ b/crates/masticcross-entry/src/entry.rs
@@ -11,7 +11,7 @@
 use masticcross_ledger::{Agreement, LedgerIdentity};
 use masticcross_log::Log;
 use masticcross_wire::ws::{self, SharedSecret, WsDialer};
-use masticcross_wire::{Frame, Incarnation, Link, Role};
+use masticcross_wire::{Frame, Incarnation, Link, PROTOCOL_VERSION, Role};
 use prometheus::Registry;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
@@ -222,6 +222,10 @@
                 return;
             };
             match hello.role {
+                Role::Agent if hello.protocol != PROTOCOL_VERSION => {
+                    // Refused there; an agent that cannot be used is not registered.
+                    dispatch.serve_agent(hello, link).await;
+                }
                 Role::Agent => {
                     let (worker, incarnation) = (hello.name.clone(), hello.incarnation);
                     peers.register_agent(&worker, incarnation, &hello.zone);
--- a/crates/masticcross-entry/src/router.rs
+++ b/crates/masticcross-entry/src/router.rs
@@ -149,7 +149,8 @@
     async fn send_job(&self, target: Target, request: &JobRequest, deadline: Instant) -> Sending {
         let left = deadline.saturating_duration_since(Instant::now());
         let mut request = request.clone();
-        request.deadline_ms = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
+        let left_ms = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
+        request.deadline_ms = left_ms.max(1);
         match target {
             Target::Here(epoch) => settled(self.owner.submit(epoch, request).await),
             Target::Peer(member, epoch) => {
