--- a/crates/masticcross-config/src/document.rs
+++ b/crates/masticcross-config/src/document.rs
@@ -7,9 +7,23 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use crate::check::check;
+
 /// Schema version that this build reads.
 pub const SCHEMA: u32 = 1;
 
+/// Largest accepted document, in bytes.
+pub const MAX_DOCUMENT_BYTES: usize = 512 * 1024;
+
+/// Most services in a document.
+pub const MAX_SERVICES: usize = 64;
+
+/// Most availability zones in a document.
+pub const MAX_ZONES: usize = 64;
+
+/// Most teams in a document.
+pub const MAX_TEAMS: usize = 1_024;
+
 /// Why a document was refused.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 #[error("{0}")]
@@ -178,16 +192,14 @@
     /// Reads and checks a document.
     ///
     /// # Errors
-    /// Says what is wrong and where.
+    /// Lists all faults, one a line.
     pub fn parse(text: &str) -> Result<Self> {
-        let doc: Self = toml::from_str(text).map_err(|e| DocumentError(e.to_string()))?;
-        if doc.schema != SCHEMA {
-            return Err(DocumentError(format!(
-                "schema is {}; accepted is {SCHEMA}",
-                doc.schema
-            )));
+        let report = check(text);
+        if let Some(document) = report.document {
+            return Ok(document);
         }
-        Ok(doc)
+        let faults: Vec<String> = report.findings.iter().map(ToString::to_string).collect();
+        Err(DocumentError(faults.join("\n")))
     }
 
     /// Lists the availability zones that are out of service.
