Keep at agents what started until its job is released

Cause: an agent forgot ended attempts after ten minutes also if no owner had released them. After a longer outage of the log and the loss of an owner the next one would have taken such a job for not started.

--- a/crates/masticcross-agent/src/core/attempts.rs
+++ b/crates/masticcross-agent/src/core/attempts.rs
@@ -1,6 +1,11 @@
 //! The attempts that this agent knows: each is started at most once, and its end is kept until the
 //! job's owner releases it.
 
+mod trim;
+
+#[cfg(test)]
+mod tests;
+
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
@@ -12,7 +17,7 @@
 
 use super::SessionId;
 
-/// How long the end of an attempt is kept at most.
+/// How long the end of an attempt is kept with its result.
 pub const KEEP_LIMIT: Duration = Duration::from_mins(10);
 
 /// Memory that an attempt takes beside its result, in bytes.
@@ -85,6 +90,12 @@
         }
     }
 
+    /// Returns true if the task was started and its job's end may not be in the log yet.
+    fn is_unreleased_start(&self) -> bool {
+        let never_started = matches!(self.phase, Phase::Ended(TaskOutcome::NotStarted(_)));
+        !self.released && !never_started
+    }
+
     fn bytes(&self) -> usize {
         ATTEMPT_BYTES + self.key.job.len() + self.result_bytes()
     }
@@ -132,6 +143,8 @@
     by_id: FxHashMap<AttemptId, Attempt>,
     by_partition: BTreeMap<Partition, BTreeMap<JobKey, JobAttempts>>,
     ended: VecDeque<AttemptId>,
+    /// Ended attempts older than [`KEEP_LIMIT`] that are not released.
+    overdue: VecDeque<AttemptId>,
     released: VecDeque<AttemptId>,
     /// For each epoch the highest attempt that was forgotten: none up to it may start.
     forgotten: BTreeMap<Epoch, u64>,
@@ -148,6 +161,7 @@
             by_id: FxHashMap::default(),
             by_partition: BTreeMap::new(),
             ended: VecDeque::new(),
+            overdue: VecDeque::new(),
             released: VecDeque::new(),
             forgotten: BTreeMap::new(),
             bytes: 0,
@@ -308,73 +322,6 @@
             .filter(|a| !a.released && matches!(a.phase, Phase::Ended(_)))
     }
 
-    /// Forgets what is over the limits of age and memory: released attempts first, the oldest
-    /// first. Of what is not released, only the results go.
-    pub fn trim(&mut self, now: Instant) {
-        self.trim_age(now);
-        while self.bytes > self.memory_limit {
-            match self.released.pop_front() {
-                Some(id) => self.forget(id),
-                None => break,
-            }
-        }
-        if self.bytes > self.memory_limit {
-            self.drop_results();
-        }
-    }
-
-    fn trim_age(&mut self, now: Instant) {
-        while let Some(id) = self.ended.front().copied() {
-            let attempt = self.by_id.get(&id);
-            if attempt.is_some_and(|a| now.duration_since(a.ended_at) < KEEP_LIMIT) {
-                break;
-            }
-            self.ended.pop_front();
-            self.forget(id);
-        }
-    }
-
-    fn drop_results(&mut self) {
-        for id in &self.ended {
-            if self.bytes <= self.memory_limit {
-                return;
-            }
-            let Some(attempt) = self.by_id.get_mut(id) else {
-                continue;
-            };
-            if let Phase::Ended(TaskOutcome::Done(_)) = attempt.phase {
-                self.bytes -= attempt.result_bytes();
-                attempt.phase = Phase::Ended(TaskOutcome::ResultDropped);
-            }
-        }
-    }
-
-    fn forget(&mut self, id: AttemptId) {
-        let Some(attempt) = self.by_id.remove(&id) else {
-            return;
-        };
-        self.bytes -= attempt.bytes();
-        let highest = self.forgotten.entry(id.epoch).or_default();
-        *highest = id.seq.max(*highest);
-        if self.forgotten.len() > FORGOTTEN_EPOCHS {
-            self.forgotten.pop_first();
-        }
-        self.unlink(&attempt);
-    }
-
-    fn unlink(&mut self, attempt: &Attempt) {
-        let Some(jobs) = self.by_partition.get_mut(&attempt.partition) else {
-            return;
-        };
-        let Some(ids) = jobs.get_mut(&attempt.key) else {
-            return;
-        };
-        ids.retain(|id| *id != attempt.id);
-        if ids.is_empty() {
-            jobs.remove(&attempt.key);
-        }
-    }
-
     fn of_job(&self, key: &JobKey) -> impl Iterator<Item = &Attempt> {
         let jobs = self.by_partition.get(&key.partition());
         let ids = jobs.and_then(|jobs| jobs.get(key)).into_iter().flatten();
