--- a/src/main.rs
+++ b/src/main.rs
@@ -3,6 +3,9 @@
 mod cmd;
 mod demo;
 
+#[cfg(test)]
+mod tests;
+
 use std::process::ExitCode;
 
 use bpaf::{Args, Parser, construct};
