--- a/crates/masticcross-entry/src/dispatch/workers.rs
+++ b/crates/masticcross-entry/src/dispatch/workers.rs
@@ -67,6 +67,7 @@
     slots: u32,
     credit_total: u64,
     credit_used: u64,
+    most_credits: u64,
     pending: u32,
     outstanding: FxHashMap<AttemptId, Outstanding>,
     speed: Speed,
@@ -230,6 +231,7 @@
         self.change_session(name, session, now, |w| {
             raised = total > w.credit_total;
             w.credit_total = w.credit_total.max(total);
+            w.most_credits = w.most_credits.max(w.credits());
         });
         raised
     }
@@ -427,7 +429,7 @@
         let place = self.has_room(worker, now).then(|| self.score(worker));
         let place = place.map(|score| (score, worker.last_used, id));
         let counted = if self.in_service(worker) {
-            u64::from(worker.in_flight()) + worker.credits()
+            (u64::from(worker.in_flight()) + worker.credits()).min(worker.slots.into())
         } else {
             0
         };
@@ -462,7 +464,7 @@
         self.in_service(worker)
             && !worker.held
             && worker.credits() > 0
-            && worker.in_flight() < worker.health.limit(now)
+            && worker.in_flight() < worker.slots.min(worker.health.limit(now))
     }
 
     fn score(&self, worker: &Worker) -> u64 {
@@ -514,6 +516,7 @@
             slots: 0,
             credit_total: 0,
             credit_used: 0,
+            most_credits: 0,
             pending: 0,
             outstanding: FxHashMap::default(),
             speed: Speed::default(),
@@ -534,6 +537,7 @@
         self.draining = false;
         self.credit_total = 0;
         self.credit_used = 0;
+        self.most_credits = 0;
         self.health.restart_ramp(now);
     }
 
@@ -552,8 +556,16 @@
         outstanding.saturating_add(self.pending)
     }
 
+    /// Returns how busy the worker is, from 0 for idle: by the tasks of this entry, or by the credits
+    /// that its agent holds back while the tasks of other entries fill it.
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "a comparison needs no exact count"
+    )]
     fn load(&self) -> f64 {
-        f64::from(self.in_flight()) / f64::from(self.slots.max(1))
+        let own = f64::from(self.in_flight()) / f64::from(self.slots.max(1));
+        let credits = self.credits() as f64 / self.most_credits.max(1) as f64;
+        own.max(1.0 - credits)
     }
 
     fn postpone_trial(&mut self, now: Instant) {
