Let tasks of three owners wait at the agent in the proof of the freshness check

Since an entry never sends more tasks than an agent has slots, the fifth task of one owner no longer waits at the agent, so the scenario had no task that could start late. Ruled out: the silence check of agents' sessions; the task never reached the agent. Change: three owners send four tasks each, so that tasks wait at the agent; the check itself is unchanged. Conclusion: the freshness check is still shown to be needed.

--- a/crates/masticcross-entry/tests/mutations.rs
+++ b/crates/masticcross-entry/tests/mutations.rs
@@ -115,10 +115,16 @@
     cluster.observer.broken()
 }
 
-/// A task waits at an agent that is cut off while its zone is taken out.
+/// Tasks of three owners wait at an agent that is cut off while its zone is taken out.
 async fn agent_that_is_cut_off(without: Option<Rule>) -> Vec<String> {
     let mut cluster = start(1, without).await;
-    cluster.submit(0, request("long", &[8_000; 5], 25_000, true));
+    for owner in 0..3 {
+        let mut names = (0..500).map(|n| format!("long-{n}"));
+        let job = names
+            .find(|job| cluster.owner_of(&request(job, &[], 1, true).key) == owner)
+            .expect("each entry owns one of the names");
+        cluster.submit(owner, request(&job, &[8_000; 4], 25_000, true));
+    }
     sleep(Duration::from_millis(300)).await;
     for entry in 0..3 {
         cluster.with_pair(entry, 0, |net, entry, agent| {
