--- a/crates/masticcross-standins/src/experiment/tests.rs
+++ b/crates/masticcross-standins/src/experiment/tests.rs
@@ -35,6 +35,7 @@
 
 ratio_cases! {
     response_at_70_percent_p50: 0.7, 0.50, 1.05;
+    response_at_70_percent_p99: 0.7, 0.99, 1.25;
     response_at_90_percent_p99: 0.9, 0.99, 2.0;
 }
 
