--- a/crates/masticcross-entry/src/owner/handover.rs
+++ b/crates/masticcross-entry/src/owner/handover.rs
@@ -10,7 +10,7 @@
 use super::effect::{Effect, Waiters};
 use super::job::{Contact, Job, Placement, Stage, Task, TaskState};
 use super::loss::UNCERTAIN_ATTEMPT;
-use super::shard::{Cx, Phase, Shard};
+use super::shard::{Cx, Phase, Shard, answer_bytes};
 
 /// Jobs in one frame.
 const JOBS_PER_FRAME: usize = 128;
@@ -34,15 +34,16 @@
         is_open
     }
 
-    /// Returns true if no job of the table waits for its admission, and no agent's report is missing
-    /// that would decide about a task.
+    /// Returns true if every admission and every end is in the log, and no agent's report is missing
+    /// that would decide about a task. The next owner takes the ends for recorded.
     pub(super) fn is_settled(&self) -> bool {
         let is_settled = |job: &Job| match job.stage {
             Stage::Admitting => false,
             Stage::Running => job.tasks.iter().all(|t| t.state != TaskState::Uncertain),
             Stage::Recovered => true,
         };
-        self.missing.is_empty() && self.jobs.values().all(is_settled)
+        let is_recorded = self.unrecorded == 0;
+        is_recorded && self.missing.is_empty() && self.jobs.values().all(is_settled)
     }
 
     /// Goes on as the owner after a handover that failed.
@@ -93,7 +94,11 @@
         holders
     }
 
-    fn import_ended(&mut self, record: JobRecord, cx: &Cx<'_>) {
+    fn import_ended(&mut self, record: JobRecord, cx: &mut Cx<'_>) {
+        if let Some(answer) = &record.answer {
+            let kept = Effect::Keep(record.request.key.clone(), answer_bytes(answer));
+            cx.effects.push(kept);
+        }
         let age = Duration::from_millis(record.age_ms);
         let at = cx.now.checked_sub(age).unwrap_or(cx.now);
         let key = record.request.key;
