Test separate processes: kills, pauses, orderly stops, log outage, racing operators

Cause: the failure tests ran in one process on a paused clock; nothing killed or paused real processes.

--- /dev/null
+++ b/tests/cluster/mod.rs
@@ -0,0 +1,306 @@
+//! A cluster of separate processes on loopback, with backend servers in the test's own process.
+
+mod process;
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use masticcross_basics::{Name, ProcessStatus};
+use masticcross_config::samples;
+use masticcross_ledger::publish::{PublishOutcome, publish};
+use masticcross_log::{HttpLog, HttpLogSettings};
+use masticcross_standins::backend::{Backend, BackendSettings, start_key};
+use masticcross_standins::http::client::Client;
+use serde::Deserialize;
+use serde_json::{Value, json};
+use tokio::runtime::Runtime;
+
+use process::Process;
+pub use process::Signal;
+
+const SERVICE: &str = "quote-desk";
+const ZONES: [&str; 3] = ["perth-north", "perth-south", "perth-east"];
+
+/// Longest wait for a state that has to come.
+const LIMIT: Duration = Duration::from_secs(90);
+
+/// Interval of looking for it.
+const POLL: Duration = Duration::from_millis(20);
+
+/// Longest wait for an answer, over the deadline of the jobs.
+const ANSWER_LIMIT: Duration = Duration::from_secs(60);
+
+/// Deadline of the jobs, in milliseconds.
+const DEADLINE_MS: u32 = 30_000;
+
+/// What a caller got.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Answer {
+    /// Every task's value, in order.
+    Whole(Vec<u64>),
+    /// A problem document.
+    Refused { code: u64, not_run: bool },
+}
+
+/// How a publication ended.
+#[derive(Debug)]
+pub struct Published {
+    pub accepted: bool,
+    pub text: String,
+}
+
+#[derive(Debug, Deserialize)]
+struct EntryStatus {
+    #[serde(flatten)]
+    process: ProcessStatus,
+    members: Vec<String>,
+    agents: Vec<AgentStatus>,
+    partitions_owned: u16,
+}
+
+#[derive(Debug, Deserialize)]
+struct AgentStatus {
+    worker: String,
+}
+
+pub struct Cluster {
+    runtime: Runtime,
+    client: Client,
+    log: Process,
+    entries: Vec<Process>,
+    agents: Vec<Process>,
+    backends: Vec<Backend>,
+}
+
+impl Cluster {
+    /// Starts all processes and waits until they know each other.
+    pub fn start() -> Self {
+        let runtime = Runtime::new().expect("a runtime");
+        let log = Process::start("log", "standin-log", &["--listen", "127.0.0.1:0"]);
+        let log_addr = log.addr("at");
+        runtime.block_on(publish_first(log_addr));
+        let entries: Vec<_> = (0..ZONES.len()).map(|i| start_entry(i, log_addr)).collect();
+        let peers: Vec<_> = entries
+            .iter()
+            .map(|e| e.addr("peers").to_string())
+            .collect();
+        let peers = peers.join(",");
+        let agents: Vec<_> = (0..ZONES.len()).map(|i| start_agent(i, &peers)).collect();
+        let backends = agents.iter().enumerate().map(|(i, agent)| {
+            let settings = BackendSettings {
+                agent: Some(agent.addr("listen").to_string()),
+                ..BackendSettings::new(&format!("backend-{i}"), SERVICE)
+            };
+            runtime
+                .block_on(Backend::start(settings))
+                .expect("a backend server")
+        });
+        let backends = backends.collect();
+        let cluster = Self {
+            client: Client::new(64),
+            runtime,
+            log,
+            entries,
+            agents,
+            backends,
+        };
+        cluster.until_ready();
+        cluster
+    }
+
+    /// Submits a job and waits for the answer.
+    pub fn submit(
+        &self,
+        entry: usize,
+        job: &str,
+        tasks: usize,
+        ms: u32,
+        repeatable: bool,
+    ) -> Answer {
+        let tasks: Vec<Value> = (0..tasks)
+            .map(|value| json!({"payload": {"ms": ms, "value": value}}))
+            .collect();
+        let body = json!({
+            "team": "desk", "repeatable": repeatable, "deadline_ms": DEADLINE_MS, "tasks": tasks
+        });
+        let addr = self.entries[entry].addr("callers");
+        let uri = format!("http://{addr}/v1/services/{SERVICE}/jobs/{job}");
+        let body = body.to_string().into();
+        let sent = self
+            .client
+            .send(http::Method::PUT, &uri, body, ANSWER_LIMIT);
+        let resp = self.runtime.block_on(sent).expect("an answer");
+        let answer: Value = serde_json::from_slice(&resp.body).expect("JSON");
+        match answer["results"].as_array() {
+            Some(results) => Answer::Whole(
+                results
+                    .iter()
+                    .map(|r| r["value"].as_u64().expect("the echoed value"))
+                    .collect(),
+            ),
+            None => Answer::Refused {
+                code: answer["code"].as_u64().expect("a code"),
+                not_run: answer["not_run"].as_bool().expect("a claim"),
+            },
+        }
+    }
+
+    /// Publishes the sample again from a base, by the operators' command line.
+    pub fn publish(&self, author: &str, base: u64) -> Published {
+        let log = self.log.addr("at").to_string();
+        let file = concat!(
+            env!("CARGO_MANIFEST_DIR"),
+            "/crates/masticcross-config/samples/guild.toml"
+        );
+        let base = base.to_string();
+        let args = [
+            "publish", "--log", &log, "--author", author, "--base", &base, file,
+        ];
+        let output = process::command("masticcross").args(args).output();
+        let output = output.expect("the program runs");
+        Published {
+            accepted: output.status.success(),
+            text: String::from_utf8_lossy(&output.stderr).into_owned(),
+        }
+    }
+
+    /// Sends a signal to an entry or an agent.
+    pub fn signal(&self, name: &str, signal: Signal) {
+        let mut all = self.entries.iter().chain(&self.agents);
+        all.find(|p| p.name() == name)
+            .expect("a process of that name")
+            .signal(signal);
+    }
+
+    pub fn set_log_down(&self, down: bool) {
+        let uri = format!("http://{}/v1/faults", self.log.addr("at"));
+        let body = json!({"all": {"down": down}});
+        let sent = self.client.send_json(http::Method::PUT, &uri, &body, LIMIT);
+        self.runtime.block_on(sent).expect("the faults are set");
+    }
+
+    /// Counts the starts of a job's tasks at all backend servers.
+    pub fn starts_of(&self, job: &str) -> u64 {
+        let keys: Vec<_> = (0..130)
+            .map(|index| start_key(SERVICE, job, index))
+            .collect();
+        let lists = self.backends.iter().flat_map(|b| b.starts().0);
+        let own = lists.filter(|(key, _)| keys.contains(key));
+        own.map(|(_, count)| u64::from(count)).sum()
+    }
+
+    /// Counts the tasks that were started more than once, over all backend servers.
+    pub fn doubled_starts(&self) -> usize {
+        let mut by_task = std::collections::HashMap::new();
+        for (key, count) in self.backends.iter().flat_map(|b| b.starts().0) {
+            *by_task.entry(key).or_insert(0) += count;
+        }
+        by_task.values().filter(|count| **count > 1).count()
+    }
+
+    pub fn until_tasks_run(&self) {
+        until("tasks run", || {
+            self.backends.iter().any(|b| b.counts().running > 0)
+        });
+    }
+
+    pub fn until_ready(&self) {
+        until("all processes know each other", || self.is_ready());
+    }
+
+    pub fn until_not_ready(&self, entry: usize) {
+        until("the view grows old", || {
+            !self.status(entry).is_some_and(|s| s.process.fresh)
+        });
+    }
+
+    /// Waits until the first entry knows that a member left.
+    pub fn until_member_left(&self, name: &str) {
+        until("the member left", || {
+            let status = self.status(0);
+            status.is_some_and(|s| !s.members.iter().any(|m| m == name))
+        });
+    }
+
+    /// Waits until the first entry knows that an agent left.
+    pub fn until_agent_left(&self, worker: &str) {
+        until("the agent left", || {
+            let status = self.status(0);
+            status.is_some_and(|s| !s.agents.iter().any(|a| a.worker == worker))
+        });
+    }
+
+    fn is_ready(&self) -> bool {
+        let statuses: Vec<_> = (0..self.entries.len())
+            .filter_map(|i| self.status(i))
+            .collect();
+        let complete = statuses.iter().all(|s| {
+            s.process.fresh && s.members.len() == ZONES.len() && s.agents.len() == ZONES.len()
+        });
+        let owned: u16 = statuses.iter().map(|s| s.partitions_owned).sum();
+        complete && owned == masticcross_basics::PARTITIONS
+    }
+
+    fn status(&self, entry: usize) -> Option<EntryStatus> {
+        let uri = format!("http://{}/v1/status", self.entries[entry].addr("operators"));
+        self.runtime
+            .block_on(self.client.get_json(&uri, LIMIT))
+            .ok()
+    }
+}
+
+fn until(what: &str, mut reached: impl FnMut() -> bool) {
+    let end = Instant::now() + LIMIT;
+    while !reached() {
+        assert!(Instant::now() < end, "not reached: {what}");
+        std::thread::sleep(POLL);
+    }
+}
+
+async fn publish_first(log: SocketAddr) {
+    let log = HttpLog::new(HttpLogSettings::new(log.to_string(), Name::from("test")));
+    let published = publish(&log, 0, "test", samples::GUILD).await;
+    assert_eq!(published, Ok(PublishOutcome::Accepted(1)));
+}
+
+fn start_entry(index: usize, log: SocketAddr) -> Process {
+    let name = format!("entry-{}", index + 1);
+    let any = "127.0.0.1:0";
+    let log = log.to_string();
+    let args = [
+        "serve",
+        "--name",
+        &name,
+        "--region",
+        "perth",
+        "--zone",
+        ZONES[index],
+        "--log",
+        &log,
+        "--callers-listen",
+        any,
+        "--operators-listen",
+        any,
+        "--peers-listen",
+        any,
+    ];
+    Process::start(&name, "masticcross", &args)
+}
+
+fn start_agent(index: usize, peers: &str) -> Process {
+    let worker = format!("worker-{}", index + 1);
+    let any = "127.0.0.1:0";
+    let args = [
+        "--name",
+        &worker,
+        "--zone",
+        ZONES[index],
+        "--entries",
+        peers,
+        "--listen",
+        any,
+        "--ops-listen",
+        any,
+    ];
+    Process::start(&format!("agent-{}", index + 1), "masticcross-agent", &args)
+}
