--- a/crates/masticcross-agent/src/core/mod.rs
+++ b/crates/masticcross-agent/src/core/mod.rs
@@ -326,7 +326,7 @@
         let busy = running.count() + self.queue.len(service);
         Capacity {
             slots,
-            prefetch: limits.prefetch_for(slots),
+            prefetch: limits.prefetch.into(),
             busy: busy as u64,
             entries: entries as u64,
         }
--- a/crates/masticcross-agent/src/settings.rs
+++ b/crates/masticcross-agent/src/settings.rs
@@ -17,27 +17,18 @@
 /// Limits of the decisions.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct AgentLimits {
-    /// Tasks of a service that may wait here beside those that run; none for one for every four
-    /// slots.
-    pub prefetch: Option<u16>,
+    /// Tasks of a service that may wait here beside those that run.
+    pub prefetch: u16,
     /// Memory for kept attempts and results, in bytes.
     pub result_memory: usize,
     /// Tasks of a service that wait here at most, whatever was granted.
     pub queue: usize,
 }
 
-impl AgentLimits {
-    /// Returns the tasks that may wait here beside a number of slots.
-    #[must_use]
-    pub fn prefetch_for(&self, slots: u64) -> u64 {
-        self.prefetch.map_or((slots / 4).max(1), u64::from)
-    }
-}
-
 impl Default for AgentLimits {
     fn default() -> Self {
         Self {
-            prefetch: None,
+            prefetch: 0,
             result_memory: 64 * 1024 * 1024,
             queue: 4_096,
         }
@@ -170,15 +161,15 @@
         fallback(64 * 1024 * 1024)
     )]
     pub result_memory: usize,
-    /// Tasks that wait here beside those that run, 0 to 4096 [default: one for every four slots]
+    /// Tasks that wait here beside those that run, 0 to 4096 [default: 0]
     #[bpaf(
         long,
         env("MASTICCROSS_AGENT_PREFETCH"),
         argument::<String>("COUNT"),
         parse(parse_prefetch),
-        optional
+        fallback(0)
     )]
-    pub prefetch: Option<u16>,
+    pub prefetch: u16,
     /// Interval of heartbeats in milliseconds, 10 to 5000 [default: 250]
     #[bpaf(
         long,
