Keep the shared secret out of the help text; one parser for entry and agent

Change: one parser in masticcross-basics, which reads the variable without naming its value; the stricter rule (16 printable ASCII characters) holds for both. Conclusion: help can be pasted into a report.

--- a/crates/masticcross-basics/src/lib.rs
+++ b/crates/masticcross-basics/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod job;
 pub mod logging;
 pub mod name;
+pub mod secret;
 pub mod status;
 pub mod timeline;
 
--- a/crates/masticcross-entry/src/settings.rs
+++ b/crates/masticcross-entry/src/settings.rs
@@ -7,9 +7,7 @@
 use masticcross_basics::Name;
 use masticcross_basics::logging::LogFormat;
 use masticcross_basics::name::check_name;
-
-/// Shortest accepted shared secret, in bytes.
-const MIN_SECRET_BYTES: usize = 16;
+use masticcross_basics::secret::secret;
 
 /// Settings of an entry.
 #[derive(Debug, Clone)]
@@ -86,7 +84,7 @@
         "MASTICCROSS_LOG",
         "IP and port of the platform's log",
     );
-    let secret = secret_option();
+    let secret = secret();
     let max_connections = long("max-connections")
         .env("MASTICCROSS_MAX_CONNECTIONS")
         .help("callers' connections at once")
@@ -155,14 +153,3 @@
         .help(help)
         .argument::<SocketAddr>("IP:PORT")
 }
-
-fn secret_option() -> impl Parser<String> {
-    long("secret")
-        .env("MASTICCROSS_SECRET")
-        .help("secret shared by all processes of the installation, at least 16 bytes")
-        .argument::<String>("TEXT")
-        .guard(
-            |text| text.len() >= MIN_SECRET_BYTES,
-            "must have at least 16 bytes",
-        )
-}
