--- a/crates/masticcross-entry/src/dispatch/workers.rs
+++ b/crates/masticcross-entry/src/dispatch/workers.rs
@@ -1,10 +1,11 @@
 //! Workers of one service as this entry sees them, and the choice among them.
 
+mod worker;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use masticcross_basics::{AttemptId, JobKey, Name};
-use masticcross_wire::Incarnation;
+use masticcross_basics::{AttemptId, Name};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rustc_hash::FxHashMap;
@@ -12,13 +13,9 @@
 
 use super::health::Health;
 use super::runtime::{RunTimes, Speed};
+use worker::{Place, SLOW};
 
-/// Slowness from which on a task rather waits for another worker.
-const SLOW: f64 = 2.0;
-
-/// First interval between tasks that try out whether a slow worker is still slow; it doubles.
-const FIRST_TRIAL: Duration = Duration::from_secs(2);
-const MAX_TRIAL: Duration = Duration::from_mins(1);
+pub use worker::{Connected, Outstanding, Worker, WorkerId};
 
 /// Time after the end of its session for which a worker's tasks count as outstanding.
 const FORGET_AFTER: Duration = Duration::from_mins(1);
@@ -38,51 +35,6 @@
     SpeedAware,
 }
 
-/// A worker, numbered in the order of arrival.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct WorkerId(u64);
-
-/// A task that may be running at a worker.
-#[derive(Debug, Clone)]
-pub struct Outstanding {
-    /// The job.
-    pub key: JobKey,
-    /// Team that pays; none if the task was adopted from another owner.
-    pub team: Option<Name>,
-    /// When it was sent, or adopted.
-    pub since: Instant,
-}
-
-/// A worker as this entry sees it.
-pub struct Worker {
-    /// Name of the worker.
-    pub name: Name,
-    /// Start of its agent.
-    pub incarnation: Incarnation,
-    zone: Name,
-    session: Option<u64>,
-    gone_since: Option<Instant>,
-    held: bool,
-    draining: bool,
-    slots: u32,
-    credit_total: u64,
-    credit_used: u64,
-    most_credits: u64,
-    pending: u32,
-    outstanding: FxHashMap<AttemptId, Outstanding>,
-    speed: Speed,
-    last_success: Option<Instant>,
-    next_trial: Option<(Instant, Duration)>,
-    /// Standing after failures.
-    pub health: Health,
-    last_used: u64,
-    place: Option<Place>,
-    counted: u64,
-}
-
-/// Place among the workers with room: score, last use, worker.
-type Place = (u64, u64, WorkerId);
-
 /// All workers of one service.
 pub struct Workers {
     rule: PlacementRule,
@@ -487,96 +439,3 @@
 fn scaled(score: f64) -> u64 {
     (score * 1000.0) as u64
 }
-
-/// A session of a worker that serves the service.
-#[derive(Debug, Clone)]
-pub struct Connected {
-    /// Name of the worker.
-    pub worker: Name,
-    /// Start of its agent.
-    pub incarnation: Incarnation,
-    /// Availability zone of the worker.
-    pub zone: Name,
-    /// Number of the session.
-    pub number: u64,
-    /// Tasks that its backend servers of the service run at once.
-    pub slots: u32,
-}
-
-impl Worker {
-    fn new(session: &Connected, now: Instant) -> Self {
-        Self {
-            name: session.worker.clone(),
-            incarnation: session.incarnation,
-            zone: session.zone.clone(),
-            session: None,
-            gone_since: None,
-            held: false,
-            draining: false,
-            slots: 0,
-            credit_total: 0,
-            credit_used: 0,
-            most_credits: 0,
-            pending: 0,
-            outstanding: FxHashMap::default(),
-            speed: Speed::default(),
-            last_success: None,
-            next_trial: None,
-            health: Health::new(now),
-            last_used: 0,
-            place: None,
-            counted: 0,
-        }
-    }
-
-    fn start_session(&mut self, session: &Connected, now: Instant) {
-        self.session = Some(session.number);
-        self.gone_since = None;
-        self.zone = session.zone.clone();
-        self.held = false;
-        self.draining = false;
-        self.credit_total = 0;
-        self.credit_used = 0;
-        self.most_credits = 0;
-        self.health.restart_ramp(now);
-    }
-
-    /// Returns the number of the open session.
-    #[must_use]
-    pub fn session(&self) -> Option<u64> {
-        self.session
-    }
-
-    fn credits(&self) -> u64 {
-        self.credit_total.saturating_sub(self.credit_used)
-    }
-
-    fn in_flight(&self) -> u32 {
-        let outstanding = u32::try_from(self.outstanding.len()).unwrap_or(u32::MAX);
-        outstanding.saturating_add(self.pending)
-    }
-
-    /// Returns how busy the worker is, from 0 for idle: by the tasks of this entry, or by the credits
-    /// that its agent holds back while the tasks of other entries fill it.
-    #[expect(
-        clippy::cast_precision_loss,
-        reason = "a comparison needs no exact count"
-    )]
-    fn load(&self) -> f64 {
-        let own = f64::from(self.in_flight()) / f64::from(self.slots.max(1));
-        let credits = self.credits() as f64 / self.most_credits.max(1) as f64;
-        own.max(1.0 - credits)
-    }
-
-    fn postpone_trial(&mut self, now: Instant) {
-        if self.speed.slowness() < SLOW {
-            return;
-        }
-        let wait = match self.next_trial {
-            Some((due, _)) if now < due => return,
-            Some((_, wait)) => (wait * 2).min(MAX_TRIAL),
-            None => FIRST_TRIAL,
-        };
-        self.next_trial = Some((now + wait, wait));
-    }
-}
--- a/crates/masticcross-entry/src/entry.rs
+++ b/crates/masticcross-entry/src/entry.rs
@@ -181,11 +181,6 @@
         self.tasks.shutdown().await;
         log::info!(entry:% = self.identity.name; "entry stopped");
     }
-
-    /// Ends at once, as if the process were killed.
-    pub fn kill(mut self) {
-        self.tasks.abort_all();
-    }
 }
 
 /// Gives accepted sessions to the part that serves them.
