Give JSON log lines their time

Cause: JSON log lines had level, message and fields, but no time. Change: the field time, in UTC with milliseconds; a test of a whole line. Conclusion: lines of several processes can be ordered by a log collector.

--- a/crates/masticcross-basics/src/logging.rs
+++ b/crates/masticcross-basics/src/logging.rs
@@ -38,14 +38,19 @@
     let env = env_logger::Env::default().default_filter_or(default_levels);
     let mut builder = env_logger::Builder::from_env(env);
     if format == LogFormat::Json {
-        builder.format(|buf, record| writeln!(buf, "{}", json_line(record)));
+        builder.format(|buf, record| {
+            let time = buf.timestamp_millis().to_string();
+            writeln!(buf, "{}", json_line(&time, record))
+        });
     }
     // A second call in the same process keeps the first set-up.
     let _ = builder.try_init();
 }
 
-fn json_line(record: &log::Record<'_>) -> String {
+/// Writes a record as one JSON object, with its time in UTC.
+fn json_line(time: &str, record: &log::Record<'_>) -> String {
     let mut fields = Fields(serde_json::Map::new());
+    fields.set("time", time);
     fields.set("level", record.level().as_str());
     fields.set("target", record.target());
     fields.set("message", &record.args().to_string());
@@ -68,3 +73,6 @@
         Ok(())
     }
 }
+
+#[cfg(test)]
+mod tests;
