--- /dev/null
+++ b/crates/masticcross-wire/src/kind.rs
@@ -0,0 +1,33 @@
+//! Names of the kinds of frames.
+
+use crate::frame::Frame;
+
+impl Frame {
+    /// Names the kind for logs and metrics.
+    #[must_use]
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Hello(_) => "hello",
+            Self::Goodbye(_) => "goodbye",
+            Self::Ping(_) => "ping",
+            Self::Pong(_) => "pong",
+            Self::Backends(_) => "backends",
+            Self::Credit(_) => "credit",
+            Self::Demand(_) => "demand",
+            Self::Start(_) => "start",
+            Self::Stop(_) => "stop",
+            Self::Ended(_) => "ended",
+            Self::Release(_) => "release",
+            Self::Gather(_) => "gather",
+            Self::Gathered(_) => "gathered",
+            Self::Submit(_) => "submit",
+            Self::Query(_) => "query",
+            Self::Reply(_) => "reply",
+            Self::Handover(_) => "handover",
+            Self::HandoverTaken(_) => "handover_taken",
+            Self::Drain => "drain",
+            Self::WhoHears(_) => "who_hears",
+            Self::Heard { .. } => "heard",
+        }
+    }
+}
--- a/crates/masticcross-wire/src/lib.rs
+++ b/crates/masticcross-wire/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod codec;
 pub mod frame;
 pub mod job;
+mod kind;
 pub mod link;
 pub mod view;
 pub mod ws;
