--- a/crates/masticcross-basics/src/code.rs
+++ b/crates/masticcross-basics/src/code.rs
@@ -82,6 +82,8 @@
     CancelledBeforeStart = 2010, 409, "cancelled before any task started";
     /// No entry could be reached that decides about the job.
     NoOwner = 2011, 503, "no entry decides about this job now";
+    /// Jobs of this kind are not served.
+    KindNotServed = 2012, 503, "kind of job not served";
     /// A task failed at its backend server.
     TaskFailed = 3001, 502, "a task failed";
     /// The deadline passed before the job was complete.
--- a/crates/masticcross-basics/src/logging.rs
+++ b/crates/masticcross-basics/src/logging.rs
@@ -1,6 +1,8 @@
 //! Set-up of structured logging for the programs.
 
 use std::io::Write;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, mpsc};
 
 use log::kv::{Key, Value, VisitSource};
 
@@ -47,6 +49,68 @@
     let _ = builder.try_init();
 }
 
+/// Lines that wait for standard output before further ones are dropped.
+const QUEUED_LINES: usize = 4_096;
+
+/// Sets up JSON lines on standard output, written by a thread of its own. A line is dropped and
+/// counted, rather than waited for, when too many wait.
+pub fn init_stdout(default_levels: &str) {
+    let (tx, rx) = mpsc::sync_channel::<Vec<u8>>(QUEUED_LINES);
+    let dropped = Arc::new(AtomicU64::new(0));
+    let writer = LineQueue {
+        tx,
+        dropped: dropped.clone(),
+    };
+    std::thread::spawn(move || write_lines(&rx, &dropped));
+    let env = env_logger::Env::default().default_filter_or(default_levels);
+    let mut builder = env_logger::Builder::from_env(env);
+    builder.target(env_logger::Target::Pipe(Box::new(writer)));
+    builder.format(|buf, record| {
+        let time = buf.timestamp_millis().to_string();
+        writeln!(buf, "{}", json_line(&time, record))
+    });
+    // A second call in the same process keeps the first set-up.
+    let _ = builder.try_init();
+}
+
+/// Hands lines to the thread that writes them.
+struct LineQueue {
+    tx: mpsc::SyncSender<Vec<u8>>,
+    dropped: Arc<AtomicU64>,
+}
+
+impl Write for LineQueue {
+    fn write(&mut self, line: &[u8]) -> std::io::Result<usize> {
+        if self.tx.try_send(line.to_vec()).is_err() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Writes what waits together, and says how many lines were dropped since.
+fn write_lines(lines: &mpsc::Receiver<Vec<u8>>, dropped: &AtomicU64) {
+    let mut stdout = std::io::stdout();
+    while let Ok(mut buf) = lines.recv() {
+        while let Ok(line) = lines.try_recv() {
+            buf.extend(line);
+        }
+        let dropped = dropped.swap(0, Ordering::Relaxed);
+        if dropped > 0 {
+            let text = format!(
+                "{{\"level\":\"WARN\",\"message\":\"log lines dropped\",\"lines\":{dropped}}}\n"
+            );
+            buf.extend(text.into_bytes());
+        }
+        // Nobody reads a log whose output is closed.
+        let _ = stdout.write_all(&buf).and_then(|()| stdout.flush());
+    }
+}
+
 /// Writes a record as one JSON object, with its time in UTC.
 fn json_line(time: &str, record: &log::Record<'_>) -> String {
     let mut fields = Fields(serde_json::Map::new());
--- a/crates/masticcross-entry/src/dispatch/mod.rs
+++ b/crates/masticcross-entry/src/dispatch/mod.rs
@@ -8,16 +8,13 @@
 //! Order of locks: a session, then the owner's tables, then a shard, then team counts. The pump
 //! asks the owner for a task only while it holds no shard.
 
-mod blame;
 pub mod budget;
 mod demand;
-mod health;
 mod limits;
 pub mod metrics;
 mod pump;
 pub mod queue;
 mod reservation;
-mod runtime;
 mod serve;
 mod session;
 pub mod shard;
--- a/crates/masticcross-entry/src/dispatch/shard.rs
+++ b/crates/masticcross-entry/src/dispatch/shard.rs
@@ -12,15 +12,15 @@
 use tokio::time::Instant;
 
 use super::Waiting;
-use super::blame::{Blame, Verdict};
 use super::demand::DemandSignal;
 use super::metrics::Levels;
 use super::queue::{FairQueue, QueuePolicy};
 use super::reservation::Reservations;
-use super::runtime::RunTimes;
 use super::sizes::TeamArrivals;
 use super::usage::TeamUsage;
 use super::workers::{Connected, Outstanding, PlacementRule, WorkerId, Workers};
+use masticcross_jobs::blame::{Blame, Verdict};
+use masticcross_jobs::runtime::RunTimes;
 
 /// Run times of the tasks of a team are its own after so many; before, the service's.
 const MIN_TEAM_SAMPLES: u32 = 8;
@@ -68,7 +68,7 @@
     pub(super) quotas: FxHashMap<Name, u32>,
     config_version: u64,
     team_runs: FxHashMap<Name, (RunTimes, u32)>,
-    blame: Blame,
+    blame: Blame<JobKey, WorkerId>,
     demand: DemandSignal,
     concurrency: Option<f64>,
 }
--- a/crates/masticcross-entry/src/dispatch/tests/workers.rs
+++ b/crates/masticcross-entry/src/dispatch/tests/workers.rs
@@ -6,9 +6,9 @@
 use quickcheck::quickcheck;
 use tokio::time::Instant;
 
-use super::super::runtime::RunTimes;
 use super::super::workers::{Outstanding, PlacementRule, WorkerId, Workers};
 use super::{attempt, connected, key};
+use masticcross_jobs::runtime::RunTimes;
 
 /// Time after which a new worker may have any number of tasks.
 const SETTLED: Duration = Duration::from_secs(10);
--- a/crates/masticcross-entry/src/dispatch/workers.rs
+++ b/crates/masticcross-entry/src/dispatch/workers.rs
@@ -11,8 +11,8 @@
 use rustc_hash::FxHashMap;
 use tokio::time::Instant;
 
-use super::health::Health;
-use super::runtime::{RunTimes, Speed};
+use masticcross_jobs::health::Health;
+use masticcross_jobs::runtime::{RunTimes, Speed};
 use worker::{Place, SLOW};
 
 pub use worker::{Connected, Outstanding, Worker, WorkerId};
--- a/crates/masticcross-entry/src/dispatch/workers/worker.rs
+++ b/crates/masticcross-entry/src/dispatch/workers/worker.rs
@@ -7,8 +7,8 @@
 use rustc_hash::FxHashMap;
 use tokio::time::Instant;
 
-use super::super::health::Health;
-use super::super::runtime::Speed;
+use masticcross_jobs::health::Health;
+use masticcross_jobs::runtime::Speed;
 
 /// Slowness from which on a task rather waits for another worker.
 pub(super) const SLOW: f64 = 2.0;
--- a/crates/masticcross-http/src/body.rs
+++ b/crates/masticcross-http/src/body.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use gotham::helpers::http::Body;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use masticcross_basics::Code;
 use serde::Deserialize;
 use thiserror::Error;
@@ -55,6 +55,12 @@
     }
 }
 
+/// Creates a body that is sent whole.
+#[must_use]
+pub fn full_body(bytes: impl Into<Bytes>) -> Body {
+    Body::new(Full::new(bytes.into()).map_err(|never| match never {}))
+}
+
 /// Reads a whole body.
 ///
 /// # Errors
--- a/crates/masticcross-http/src/lib.rs
+++ b/crates/masticcross-http/src/lib.rs
@@ -12,6 +12,6 @@
 pub mod problem;
 pub mod server;
 
-pub use body::{BodyError, read_body, read_json};
+pub use body::{BodyError, full_body, read_body, read_json};
 pub use problem::Problem;
 pub use server::{HttpLimits, HttpServer};
--- a/crates/masticcross-http/src/problem.rs
+++ b/crates/masticcross-http/src/problem.rs
@@ -1,11 +1,12 @@
 //! Problem documents after RFC 9457.
 
+use crate::body::full_body;
 use gotham::handler::IntoResponse;
 use gotham::helpers::http::Body;
 use gotham::state::State;
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderValue, Response, StatusCode};
-use http_body_util::{BodyExt, Full};
+
 use masticcross_basics::Code;
 use serde::{Deserialize, Serialize};
 
@@ -71,8 +72,7 @@
     /// Writes the HTTP response.
     #[must_use]
     pub fn to_response(&self) -> Response<Body> {
-        let body = Full::from(self.to_json()).map_err(|never| match never {});
-        let mut resp = Response::new(Body::new(body));
+        let mut resp = Response::new(full_body(self.to_json()));
         *resp.status_mut() = self.status();
         let headers = resp.headers_mut();
         headers.insert(
--- a/crates/masticcross-entry/src/dispatch/blame.rs
+++ b/crates/masticcross-jobs/src/blame.rs
@@ -1,38 +1,45 @@
 //! Tells a bad job from a bad worker: a job that fails on several workers counts against none.
 
 use std::collections::VecDeque;
+use std::hash::Hash;
 
-use masticcross_basics::JobKey;
 use rustc_hash::FxHashMap;
 use smallvec::SmallVec;
 
-use super::workers::WorkerId;
-
 /// Failed jobs that are remembered.
 const MAX_JOBS: usize = 1024;
 
 /// Failures of one job, by worker.
-type Failures = SmallVec<[(WorkerId, u32); 2]>;
+type Failures<W> = SmallVec<[(W, u32); 2]>;
 
 /// Whom a failure counts against.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Verdict {
+pub enum Verdict<W> {
     /// The worker, until the job fails elsewhere.
     Worker,
     /// The job. The failures named were counted against workers before and are to be taken back.
-    Job(SmallVec<[(WorkerId, u32); 2]>),
+    Job(SmallVec<[(W, u32); 2]>),
 }
 
 /// Failures of the last failed jobs.
-#[derive(Debug, Default)]
-pub struct Blame {
-    jobs: FxHashMap<JobKey, Failures>,
-    by_age: VecDeque<JobKey>,
+#[derive(Debug)]
+pub struct Blame<J, W> {
+    jobs: FxHashMap<J, Failures<W>>,
+    by_age: VecDeque<J>,
+}
+
+impl<J, W> Default for Blame<J, W> {
+    fn default() -> Self {
+        Self {
+            jobs: FxHashMap::default(),
+            by_age: VecDeque::new(),
+        }
+    }
 }
 
-impl Blame {
+impl<J: Eq + Hash + Clone, W: PartialEq + Clone> Blame<J, W> {
     /// Notes a failure and judges it.
-    pub fn failed(&mut self, key: &JobKey, worker: WorkerId) -> Verdict {
+    pub fn failed(&mut self, key: &J, worker: W) -> Verdict<W> {
         let Some(failures) = self.jobs.get_mut(key) else {
             self.remember(key, worker);
             return Verdict::Worker;
@@ -44,7 +51,7 @@
             }
             Some(_) => Verdict::Job(Failures::new()),
             None => {
-                let counted = failures.iter().copied().filter(|(_, n)| *n > 0).collect();
+                let counted = failures.iter().filter(|(_, n)| *n > 0).cloned().collect();
                 failures.iter_mut().for_each(|(_, count)| *count = 0);
                 failures.push((worker, 0));
                 Verdict::Job(counted)
@@ -52,7 +59,7 @@
         }
     }
 
-    fn remember(&mut self, key: &JobKey, worker: WorkerId) {
+    fn remember(&mut self, key: &J, worker: W) {
         if self.by_age.len() >= MAX_JOBS
             && let Some(oldest) = self.by_age.pop_front()
         {
--- /dev/null
+++ b/crates/masticcross-jobs/src/entry.rs
@@ -0,0 +1,341 @@
+//! An entry: sessions of agents, callers that wait, and the carrying out of the scheduler's effects.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use masticcross_basics::Name;
+use masticcross_wire::pool::{EntryAddr, OperatorView, PoolFrame};
+use masticcross_wire::{Frame, Hello, Incarnation, Link, PROTOCOL_VERSION, Refusal, Role};
+use parking_lot::Mutex;
+use rustc_hash::FxHashMap;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::JoinSet;
+use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
+
+use crate::job::{JobOutcome, JobRequest};
+use crate::scheduler::table::JobNumber;
+use crate::scheduler::{Effect, Scheduler, SessionId};
+
+/// Silence after which a session is closed.
+const SESSION_SILENCE: Duration = Duration::from_millis(600);
+
+/// Longest wait for the first frame of a session.
+const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Interval of the decisions that depend on time alone.
+const TICK: Duration = Duration::from_millis(20);
+
+/// Who an entry is.
+#[derive(Debug, Clone)]
+pub struct EntryIdentity {
+    /// Name and address for agents.
+    pub addr: EntryAddr,
+    /// Availability zone.
+    pub zone: Name,
+    /// Start of the process.
+    pub incarnation: Incarnation,
+}
+
+/// A running entry.
+pub struct Entry {
+    identity: EntryIdentity,
+    state: Mutex<State>,
+}
+
+struct State {
+    scheduler: Scheduler,
+    sessions: BTreeMap<SessionId, mpsc::Sender<Frame>>,
+    next_session: SessionId,
+    callers: FxHashMap<JobNumber, Vec<oneshot::Sender<JobOutcome>>>,
+    entries: BTreeMap<Name, EntryAddr>,
+}
+
+impl Entry {
+    /// Creates an entry that knows nothing yet.
+    #[must_use]
+    pub fn new(identity: EntryIdentity) -> Arc<Self> {
+        let own = identity.addr.clone();
+        let state = State {
+            scheduler: Scheduler::new(identity.zone.clone()),
+            sessions: BTreeMap::new(),
+            next_session: 0,
+            callers: FxHashMap::default(),
+            entries: BTreeMap::from([(own.name.clone(), own)]),
+        };
+        Arc::new(Self {
+            identity,
+            state: Mutex::new(state),
+        })
+    }
+
+    /// Serves the sessions of agents until the process ends.
+    pub async fn run(self: Arc<Self>, links: mpsc::Receiver<Link>) {
+        tokio::join!(self.clone().accept(links), self.clone().keep_time());
+    }
+
+    /// Runs a job and returns how it ended. A job whose callers have all left is stopped.
+    pub async fn submit(self: &Arc<Self>, request: JobRequest) -> JobOutcome {
+        match self.enter(request) {
+            Ok(waiting) => waiting.outcome().await,
+            Err(refusal) => JobOutcome::Refused(refusal),
+        }
+    }
+
+    /// Cancels a job. Returns false if it is not here.
+    pub fn cancel(&self, id: &str) -> bool {
+        self.with_state(|state, _| match state.scheduler.find(id) {
+            Some((number, _)) => {
+                state.scheduler.cancel(number);
+                state.callers.remove(&number);
+                true
+            }
+            None => false,
+        })
+    }
+
+    /// Returns whether a task of a job may have started; none if the job is not here.
+    #[must_use]
+    pub fn has_begun(&self, id: &str) -> Option<bool> {
+        let state = self.state.lock();
+        state.scheduler.find(id).map(|(_, begun)| begun)
+    }
+
+    /// Counts the jobs of a queue that have not begun.
+    #[must_use]
+    pub fn not_begun(&self, queue: &str) -> usize {
+        self.state.lock().scheduler.not_begun(queue)
+    }
+
+    /// Counts the jobs that have not ended.
+    #[must_use]
+    pub fn open_jobs(&self) -> usize {
+        self.state.lock().scheduler.levels().jobs
+    }
+
+    /// Returns operators' orders, once they are known.
+    #[must_use]
+    pub fn view(&self) -> Option<OperatorView> {
+        self.state.lock().scheduler.view().cloned()
+    }
+
+    /// Calls a function with operators' orders, if they are known.
+    pub fn with_view<T>(&self, f: impl FnOnce(&OperatorView) -> T) -> Option<T> {
+        self.state.lock().scheduler.view().map(f)
+    }
+
+    /// Takes over operators' orders.
+    pub fn view_offered(&self, view: OperatorView) {
+        self.with_state(|state, _| state.scheduler.view_offered(view));
+    }
+
+    /// Takes over addresses of entries and tells the agents if one is new.
+    pub fn learn_entries(&self, entries: &[EntryAddr]) {
+        let mut state = self.state.lock();
+        let mut news = false;
+        for entry in entries.iter().filter(|e| e.name != self.identity.addr.name) {
+            let before = state.entries.insert(entry.name.clone(), entry.clone());
+            news |= before.as_ref() != Some(entry);
+        }
+        if news {
+            let all: Vec<EntryAddr> = state.entries.values().cloned().collect();
+            let sessions: Vec<SessionId> = state.sessions.keys().copied().collect();
+            for session in sessions {
+                state.send(session, PoolFrame::Entries(all.clone()));
+            }
+        }
+    }
+
+    fn enter(self: &Arc<Self>, request: JobRequest) -> Result<WaitingCaller, Refusal> {
+        let (tx, rx) = oneshot::channel();
+        let number = self.with_state(|state, now| {
+            let number = state.scheduler.submit(request, now)?;
+            state.callers.entry(number).or_default().push(tx);
+            Ok(number)
+        })?;
+        Ok(WaitingCaller {
+            entry: self.clone(),
+            number,
+            rx,
+        })
+    }
+
+    fn caller_left(&self, number: JobNumber) {
+        self.with_state(|state, _| {
+            let Some(callers) = state.callers.get_mut(&number) else {
+                return;
+            };
+            callers.retain(|tx| !tx.is_closed());
+            if callers.is_empty() {
+                log::info!(number; "job stopped: its callers have left");
+                state.callers.remove(&number);
+                state.scheduler.cancel(number);
+            }
+        });
+    }
+
+    /// Calls the decisions and carries out what they leave.
+    fn with_state<T>(&self, f: impl FnOnce(&mut State, Instant) -> T) -> T {
+        let mut state = self.state.lock();
+        let result = f(&mut state, Instant::now());
+        for effect in state.scheduler.take_effects() {
+            match effect {
+                Effect::Send(session, frame) => state.send(session, frame),
+                Effect::Answer(number, outcome) => state.answer(number, &outcome),
+            }
+        }
+        result
+    }
+
+    async fn keep_time(self: Arc<Self>) {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            self.with_state(|state, now| state.scheduler.tick(now));
+        }
+    }
+
+    async fn accept(self: Arc<Self>, mut links: mpsc::Receiver<Link>) {
+        let mut sessions = JoinSet::new();
+        loop {
+            tokio::select! {
+                biased;
+                Some(_) = sessions.join_next(), if !sessions.is_empty() => {}
+                link = links.recv() => match link {
+                    Some(link) => {
+                        sessions.spawn(self.clone().serve(link));
+                    }
+                    None => return,
+                },
+            }
+        }
+    }
+
+    async fn serve(self: Arc<Self>, mut link: Link) {
+        let first = timeout(HELLO_TIMEOUT, link.rx.recv()).await;
+        let Ok(Some(Frame::Hello(hello))) = first else {
+            log::info!("session closed: no hello as first frame");
+            return;
+        };
+        if hello.protocol != PROTOCOL_VERSION || hello.role != Role::Agent {
+            log::warn!(name:% = hello.name, protocol = hello.protocol; "session refused");
+            return;
+        }
+        if link.tx.send(Frame::Hello(self.hello())).await.is_err() {
+            return;
+        }
+        let session = self.open(&hello, &link);
+        log::info!(agent:% = hello.name, session; "session opened");
+        self.pump(&hello.name, session, &mut link).await;
+        log::info!(agent:% = hello.name, session; "session ended");
+        self.with_state(|state, now| {
+            state.sessions.remove(&session);
+            state.scheduler.session_closed(&hello.name, session, now);
+        });
+    }
+
+    fn hello(&self) -> Hello {
+        Hello {
+            protocol: PROTOCOL_VERSION,
+            role: Role::Entry,
+            name: self.identity.addr.name.clone(),
+            incarnation: self.identity.incarnation,
+            zone: self.identity.zone.clone(),
+            session: 0,
+        }
+    }
+
+    fn open(&self, hello: &Hello, link: &Link) -> SessionId {
+        self.with_state(|state, now| {
+            state.next_session += 1;
+            let session = state.next_session;
+            state.sessions.insert(session, link.tx.clone());
+            let all = state.entries.values().cloned().collect();
+            state.send(session, PoolFrame::Entries(all));
+            let scheduler = &mut state.scheduler;
+            scheduler.session_opened(&hello.name, hello.incarnation, session, now);
+            session
+        })
+    }
+
+    async fn pump(&self, agent: &Name, session: SessionId, link: &mut Link) {
+        loop {
+            match timeout(SESSION_SILENCE, link.rx.recv()).await {
+                Ok(Some(Frame::Pool(frame))) => self.handle(agent, session, frame),
+                Ok(Some(other)) => {
+                    log::warn!(session, frame = other.kind(); "unexpected frame");
+                }
+                Ok(None) | Err(_) => return,
+            }
+            if !self.state.lock().sessions.contains_key(&session) {
+                return;
+            }
+        }
+    }
+
+    fn handle(&self, agent: &Name, session: SessionId, frame: PoolFrame) {
+        self.with_state(|state, now| match frame {
+            PoolFrame::Probe(probe) => state.send(session, PoolFrame::Echo(probe)),
+            PoolFrame::Worker(info) => {
+                state.scheduler.worker_changed(agent, session, info, now);
+            }
+            PoolFrame::Free(free) => state.scheduler.freed(agent, session, free, now),
+            PoolFrame::Resume(resume) if resume.entry == self.identity.incarnation => {
+                state.scheduler.resumed(agent, session, &resume, now);
+            }
+            PoolFrame::Ended(ends) => state.scheduler.ended(agent, session, &ends, now),
+            PoolFrame::View(view) => {
+                state.scheduler.view_offered(*view);
+            }
+            PoolFrame::Entries(_)
+            | PoolFrame::Resume(_)
+            | PoolFrame::Echo(_)
+            | PoolFrame::Run(_)
+            | PoolFrame::Stop(_) => {}
+        });
+    }
+}
+
+impl State {
+    fn send(&mut self, session: SessionId, frame: PoolFrame) {
+        let Some(tx) = self.sessions.get(&session) else {
+            return;
+        };
+        if tx.try_send(Frame::Pool(frame)).is_err() {
+            log::warn!(session; "session dropped: its queue is full or closed");
+            self.sessions.remove(&session);
+        }
+    }
+
+    fn answer(&mut self, number: JobNumber, outcome: &JobOutcome) {
+        for caller in self.callers.remove(&number).unwrap_or_default() {
+            // A caller that has left needs no answer.
+            let _ = caller.send(outcome.clone());
+        }
+    }
+}
+
+/// A caller that waits for its job. Dropping it tells that the caller has left.
+struct WaitingCaller {
+    entry: Arc<Entry>,
+    number: JobNumber,
+    rx: oneshot::Receiver<JobOutcome>,
+}
+
+impl WaitingCaller {
+    async fn outcome(mut self) -> JobOutcome {
+        let outcome = (&mut self.rx).await;
+        outcome.unwrap_or_else(|_| {
+            let code = masticcross_basics::Code::Cancelled;
+            JobOutcome::Refused(Refusal::failed(code, "the job was cancelled"))
+        })
+    }
+}
+
+impl Drop for WaitingCaller {
+    fn drop(&mut self) {
+        self.rx.close();
+        self.entry.caller_left(self.number);
+    }
+}
--- /dev/null
+++ b/crates/masticcross-jobs/src/job.rs
@@ -0,0 +1,111 @@
+//! Jobs as an entry gets them.
+
+use masticcross_basics::{Code, Name};
+use masticcross_wire::Refusal;
+use masticcross_wire::pool::Room;
+use smallvec::SmallVec;
+use tokio::time::Instant;
+
+/// Most tasks of a job.
+pub const MAX_TASKS: usize = 4_096;
+
+/// Most steps of a job.
+pub const MAX_STEPS: usize = 64;
+
+/// A step of a job: tasks that are alike.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct StepRequest {
+    /// Number of tasks.
+    pub count: u16,
+    /// Resources of each task.
+    pub room: Room,
+    /// Run time of a task that the caller expects, in milliseconds.
+    pub expected_ms: u32,
+    /// Earlier steps that must be done before this one starts.
+    pub after: SmallVec<[u16; 2]>,
+    /// Label that a worker must have.
+    pub label: Option<Name>,
+    /// Label of the workers that are near the step's data.
+    pub data_label: Option<Name>,
+    /// Most tasks of the step that may be on one worker.
+    pub max_per_worker: Option<u16>,
+}
+
+/// A job that is answered when it has ended and is not kept.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct JobRequest {
+    /// Id chosen by the caller.
+    pub id: Name,
+    /// Name of the queue.
+    pub queue: Name,
+    /// What the tasks are to do.
+    pub spec: Name,
+    /// Steps, at least one.
+    pub steps: SmallVec<[StepRequest; 1]>,
+    /// Until when the caller waits.
+    pub deadline: Instant,
+}
+
+impl JobRequest {
+    /// Checks what a caller may ask for.
+    ///
+    /// # Errors
+    /// Names the field that is out of bounds.
+    pub fn check(&self) -> Result<(), Refusal> {
+        let tasks: usize = self.steps.iter().map(|step| usize::from(step.count)).sum();
+        if self.steps.is_empty() || self.steps.len() > MAX_STEPS {
+            return Err(invalid(format!("a job has 1 to {MAX_STEPS} steps")));
+        }
+        if tasks > MAX_TASKS || self.steps.iter().any(|step| step.count == 0) {
+            let text = format!("a step has a task at least, a job at most {MAX_TASKS}");
+            return Err(invalid(text));
+        }
+        for (number, step) in self.steps.iter().enumerate() {
+            if step
+                .after
+                .iter()
+                .any(|earlier| usize::from(*earlier) >= number)
+            {
+                let text = format!("step {number} waits for a step that is not an earlier one");
+                return Err(invalid(text));
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the expected run time of the longest chain of steps, in milliseconds.
+    #[must_use]
+    pub fn longest_chain_ms(&self) -> u64 {
+        let mut ends: SmallVec<[u64; 4]> = SmallVec::new();
+        for step in &self.steps {
+            let earlier = step.after.iter().filter_map(|s| ends.get(usize::from(*s)));
+            let start = earlier.copied().max().unwrap_or(0);
+            ends.push(start + u64::from(step.expected_ms));
+        }
+        ends.into_iter().max().unwrap_or(0)
+    }
+
+    /// Returns the resources that all tasks take, in thousandths of a core times milliseconds.
+    #[must_use]
+    pub fn work(&self) -> u64 {
+        let work = |s: &StepRequest| {
+            s.room.cpu.saturating_mul(u64::from(s.expected_ms)) * u64::from(s.count)
+        };
+        self.steps.iter().map(work).sum()
+    }
+}
+
+fn invalid(detail: String) -> Refusal {
+    Refusal::not_run(Code::InvalidField, detail)
+}
+
+/// How a job ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum JobOutcome {
+    /// All tasks are done.
+    Completed,
+    /// A task failed as often as its queue allows.
+    Failed,
+    /// The job was given up.
+    Refused(Refusal),
+}
--- /dev/null
+++ b/crates/masticcross-jobs/src/keeper/calls.rs
@@ -0,0 +1,354 @@
+//! Calls to the worker and their answers.
+
+use std::time::Duration;
+
+use masticcross_wire::NotStartedReason;
+use masticcross_wire::pool::{RunId, RunResult};
+use tokio::time::Instant;
+
+use crate::worker_client::{
+    CallError, LookCall, Result, StartAnswer, StartCall, StartVerdict, StopCall, WorkerEnd,
+    WorkerLists,
+};
+
+use super::runs::Phase;
+use super::{Effect, Keeper, STOP_AGAIN};
+
+/// Time after which a start counts as unanswered.
+const START_TIMEOUT: Duration = Duration::from_millis(60);
+
+/// How long the worker may hold back the answer to a look.
+pub const LOOK_WAIT: Duration = Duration::from_millis(250);
+
+/// Answers to looks that may be missing before the lease is not extended any more.
+const UNANSWERED_LOOKS: u32 = 2;
+
+/// Time without progress after which a run counts as stuck.
+const STUCK_AFTER: Duration = Duration::from_millis(400);
+
+/// Step of a run's number at the worker after it refused one as too low.
+const RUN_NUMBER_STEP: u32 = 16;
+
+/// Ends that a worker lists at once; a full list may leave some out.
+const FULL_LIST: usize = 500;
+
+impl Keeper {
+    /// Returns the next look at the worker, none while there is no worker. `missed` counts the looks
+    /// in a row that were not answered.
+    pub fn next_look(&mut self, missed: u32, wait: Duration, now: Instant) -> Option<LookCall> {
+        let worker = self.worker.as_ref()?;
+        let extend = missed < UNANSWERED_LOOKS && !self.runs.is_empty();
+        let lease_until_ms = if extend { self.lease.extend(now) } else { None };
+        Some(LookCall {
+            life: Some(worker.life.clone()),
+            token: self.lease.token(),
+            lease_until_ms,
+            seen: worker.seen,
+            wait_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
+        })
+    }
+
+    /// Takes over the answer to a look.
+    pub fn looked(&mut self, call: &LookCall, answer: Result<WorkerLists>, now: Instant) {
+        let same_life = self.worker.as_ref().map(|w| &w.life) == call.life.as_ref();
+        if !same_life {
+            return;
+        }
+        match answer {
+            Ok(lists) => self.listed(call.token, lists, now),
+            Err(CallError::Fenced) => {
+                log::warn!(token = call.token; "fencing token refused; raised");
+                self.lease.jump_token(call.token);
+                self.effects.push(Effect::Look);
+            }
+            Err(error @ (CallError::Refused(_) | CallError::OtherLife)) => {
+                log::warn!(error:%; "worker is gone");
+                self.lose_all_runs(now);
+                self.worker = None;
+            }
+            Err(CallError::NoAnswer(error)) => log::info!(error; "look not answered"),
+        }
+        self.publish(now);
+    }
+
+    /// Takes over the answer to a start.
+    pub fn started(&mut self, call: &StartCall, answer: Result<StartAnswer>, now: Instant) {
+        let id = &call.order.id;
+        let is_current = |run: &&mut super::Run| {
+            run.order.id == *id
+                && run.worker_run == call.worker_run
+                && matches!(run.phase, Phase::Starting { token, .. } if token == call.token)
+        };
+        let Some(run) = self.runs.get_mut(&id.task).filter(is_current) else {
+            return;
+        };
+        match answer {
+            Ok(answer) => {
+                self.lease.clock_seen(answer.clock_ms, now);
+                self.start_answered(id, answer, now);
+            }
+            Err(CallError::Fenced) => self.send_start(id, now),
+            Err(CallError::Refused(_) | CallError::OtherLife) => {
+                let reason = NotStartedReason::ConnectFailed;
+                self.finish(id, RunResult::NotStarted(reason), now);
+            }
+            Err(CallError::NoAnswer(error)) => {
+                log::info!(run:% = id, error; "start not answered");
+                if let Phase::Starting { sent_at, .. } = &mut run.phase {
+                    *sent_at = now.checked_sub(START_TIMEOUT).unwrap_or(*sent_at);
+                }
+                self.resolve_unanswered(now);
+            }
+        }
+        self.publish(now);
+    }
+
+    fn start_answered(&mut self, id: &RunId, answer: StartAnswer, now: Instant) {
+        let reason = match answer.verdict {
+            StartVerdict::Started => {
+                if let Some(run) = self.runs.get_mut(&id.task) {
+                    run.phase = Phase::Running {
+                        since_clock_ms: answer.clock_ms,
+                    };
+                    run.progress = (0, now);
+                }
+                self.send_stops(now);
+                return;
+            }
+            StartVerdict::Late => return self.send_start(id, now),
+            StartVerdict::OldRun => return self.renumber(id, now),
+            StartVerdict::NoRoom => NotStartedReason::NoRoom,
+            StartVerdict::Unhealthy | StartVerdict::Invalid => NotStartedReason::ConnectFailed,
+        };
+        log::info!(run:% = id, verdict:? = answer.verdict; "worker refused a start");
+        self.finish(id, RunResult::NotStarted(reason), now);
+    }
+
+    /// Starts a run again under a higher number, as the worker knows one of an earlier agent.
+    fn renumber(&mut self, id: &RunId, now: Instant) {
+        if let Some(run) = self.runs.get(&id.task) {
+            let number = run.worker_run.saturating_add(RUN_NUMBER_STEP);
+            self.runs.renumber(&id.task, number);
+            self.send_start(id, now);
+        }
+    }
+
+    /// Sends the start of a run under the current token, or drops the run if it is to stop.
+    pub(super) fn send_start(&mut self, id: &RunId, now: Instant) {
+        let Some(worker) = &self.worker else {
+            return;
+        };
+        let life = worker.life.clone();
+        let Some(lease_until_ms) = self.lease.extend(now) else {
+            let reason = NotStartedReason::NoBackend;
+            return self.finish(id, RunResult::NotStarted(reason), now);
+        };
+        let token = self.lease.token();
+        let Some(run) = self.runs.get_mut(&id.task) else {
+            return;
+        };
+        if run.stopping {
+            let reason = NotStartedReason::Stopped;
+            return self.finish(id, RunResult::NotStarted(reason), now);
+        }
+        run.phase = Phase::Starting {
+            token,
+            sent_at: now,
+            unanswered: false,
+        };
+        let call = StartCall {
+            life,
+            order: run.order.clone(),
+            worker_run: run.worker_run,
+            token,
+            lease_until_ms,
+        };
+        self.effects.push(Effect::Start(call));
+    }
+
+    /// Sends the stops that are due.
+    pub(super) fn send_stops(&mut self, now: Instant) {
+        let Some(worker) = &self.worker else {
+            return;
+        };
+        let token = self.lease.token();
+        for run in self.runs.iter_mut().filter(|run| run.stopping) {
+            let is_due = |at: Instant| now.saturating_duration_since(at) >= STOP_AGAIN;
+            if !matches!(run.phase, Phase::Running { .. }) || !run.stop_sent.is_none_or(is_due) {
+                continue;
+            }
+            run.stop_sent = Some(now);
+            self.effects.push(Effect::Stop(StopCall {
+                life: worker.life.clone(),
+                run: RunId {
+                    task: run.order.id.task.clone(),
+                    run: run.worker_run,
+                },
+                token,
+            }));
+        }
+    }
+
+    /// Makes late executions of unanswered starts impossible by a higher token, and looks whether
+    /// they have happened.
+    pub(super) fn resolve_unanswered(&mut self, now: Instant) {
+        let mut found = false;
+        for run in self.runs.iter_mut() {
+            if let Phase::Starting {
+                sent_at,
+                unanswered,
+                ..
+            } = &mut run.phase
+                && !*unanswered
+                && now.saturating_duration_since(*sent_at) >= START_TIMEOUT
+            {
+                *unanswered = true;
+                found = true;
+            }
+        }
+        if found {
+            self.lease.raise_token();
+            self.effects.push(Effect::Look);
+        }
+    }
+
+    /// Gives up runs whose lease has surely lapsed at a silent worker.
+    pub(super) fn lose_lapsed(&mut self, now: Instant) {
+        if !self.runs.is_empty() && self.offered(now).is_none() && now >= self.lease.lapsed_at(now)
+        {
+            self.lose_all_runs(now);
+        }
+    }
+
+    fn listed(&mut self, token: u64, lists: WorkerLists, now: Instant) {
+        let Some(worker) = &mut self.worker else {
+            return;
+        };
+        if lists.born_ms != worker.life.born_ms {
+            log::warn!(born_ms = lists.born_ms; "lists of another life of the worker");
+            self.lose_all_runs(now);
+            self.worker = None;
+            return;
+        }
+        self.lease.clock_seen(lists.clock_ms, now);
+        worker.heard_at = now;
+        let full = lists.ended.len() >= FULL_LIST;
+        self.take_ends(&lists, now);
+        self.take_running(&lists, now);
+        if !full {
+            self.find_missing(token, &lists, now);
+        }
+        if let Some(worker) = &mut self.worker {
+            worker.listed = true;
+        }
+        self.send_stops(now);
+    }
+
+    fn take_ends(&mut self, lists: &WorkerLists, now: Instant) {
+        let Some(worker) = &mut self.worker else {
+            return;
+        };
+        let seen = worker.seen;
+        let news: Vec<_> = lists.ended.iter().filter(|e| e.number > seen).collect();
+        for entry in &news {
+            worker.seen = worker.seen.max(entry.number);
+            worker.foreign.retain(|run| *run != entry.run);
+        }
+        for entry in news {
+            let ours = self.runs.get(&entry.run.task);
+            let Some(run) = ours.filter(|run| run.worker_run == entry.run.run) else {
+                continue;
+            };
+            let id = run.order.id.clone();
+            let result = match entry.end {
+                WorkerEnd::Done => RunResult::Done,
+                WorkerEnd::Failed => RunResult::Failed,
+                WorkerEnd::Stopped => RunResult::Stopped,
+                WorkerEnd::Lapsed => RunResult::Lost,
+            };
+            self.finish(&id, result, now);
+        }
+    }
+
+    fn take_running(&mut self, lists: &WorkerLists, now: Instant) {
+        let mut foreign = Vec::new();
+        for entry in &lists.running {
+            let run = self.runs.get_mut(&entry.run.task);
+            let Some(run) = run.filter(|run| run.worker_run == entry.run.run) else {
+                foreign.push(entry.run.clone());
+                continue;
+            };
+            if let Phase::Starting { .. } = run.phase {
+                run.phase = Phase::Running {
+                    since_clock_ms: lists.clock_ms,
+                };
+                run.progress = (entry.percent, now);
+            }
+            if entry.percent != run.progress.0 {
+                run.progress = (entry.percent, now);
+            } else if now.saturating_duration_since(run.progress.1) >= STUCK_AFTER && !run.stopping
+            {
+                log::info!(run:% = run.order.id, percent = entry.percent; "stopped: no progress");
+                run.stopping = true;
+                run.stuck = true;
+            }
+        }
+        self.stop_foreign(foreign);
+    }
+
+    /// Stops runs of an earlier life of this agent. Nothing is offered while they take room.
+    fn stop_foreign(&mut self, foreign: Vec<RunId>) {
+        let Some(worker) = &mut self.worker else {
+            return;
+        };
+        // A list that was overtaken may still show a run that has ended.
+        if worker.listed && worker.foreign.is_empty() {
+            return;
+        }
+        for run in &foreign {
+            log::info!(run:%; "stopped: started by an earlier agent");
+            self.effects.push(Effect::Stop(StopCall {
+                life: worker.life.clone(),
+                run: run.clone(),
+                token: self.lease.token(),
+            }));
+        }
+        worker.foreign = foreign;
+    }
+
+    /// Finds runs that the worker neither runs nor lists as ended.
+    fn find_missing(&mut self, token: u64, lists: &WorkerLists, now: Instant) {
+        let mut gone = Vec::new();
+        for run in self.runs.iter() {
+            let id = RunId {
+                task: run.order.id.task.clone(),
+                run: run.worker_run,
+            };
+            if lists.running.iter().any(|entry| entry.run == id) {
+                continue;
+            }
+            match run.phase {
+                Phase::Starting {
+                    token: start,
+                    unanswered: true,
+                    ..
+                } if start < token => {
+                    let reason = NotStartedReason::ConnectFailed;
+                    gone.push((run.order.id.clone(), RunResult::NotStarted(reason)));
+                }
+                Phase::Running { since_clock_ms } if since_clock_ms < lists.clock_ms => {
+                    let listed = lists.ended.iter().any(|entry| entry.run == id);
+                    if !listed {
+                        gone.push((run.order.id.clone(), RunResult::Lost));
+                    }
+                }
+                Phase::Starting { .. } | Phase::Running { .. } => {}
+            }
+        }
+        gone.sort_by(|a, b| a.0.cmp(&b.0));
+        for (id, result) in gone {
+            log::info!(run:% = id, result:?; "run is not at the worker");
+            self.finish(&id, result, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/masticcross-jobs/src/keeper/mod.rs
@@ -0,0 +1,479 @@
+//! An agent's decisions: what fits on its worker, what starts, and what has surely ended.
+//!
+//! - [`lease`]: lease and fencing token.
+//! - [`runs`]: what holds room.
+//! - [`clients`]: entries, and how long the agent may act for them.
+//! - `calls`: answers of the worker.
+//!
+//! Nothing here waits. Methods take the time and leave [`Effect`]s, which the caller carries out in
+//! order.
+
+mod calls;
+pub mod clients;
+pub mod lease;
+pub mod runs;
+
+#[cfg(test)]
+mod tests;
+
+use std::time::Duration;
+
+use masticcross_wire::NotStartedReason;
+use masticcross_wire::pool::{
+    EntryAddr, FreeRoom, OperatorView, PoolFrame, Resume, Room, RunEnd, RunId, RunOrder, RunResult,
+    WorkerInfo,
+};
+use tokio::time::Instant;
+
+use crate::worker_client::{StartCall, StopCall, WorkerLife};
+
+pub use calls::LOOK_WAIT;
+use clients::{ClientId, Clients};
+use lease::Lease;
+use runs::{Phase, Run, Runs};
+
+/// Number of a session, unique in this process.
+pub type SessionId = u64;
+
+/// How long a worker's number of the last run of a task is remembered.
+const KEEP_RUN_NUMBERS: Duration = Duration::from_secs(30);
+
+/// Time after which a stop that shows no effect is sent again.
+const STOP_AGAIN: Duration = Duration::from_millis(200);
+
+/// Time without a sign of life after which the worker counts as silent.
+const WORKER_SILENCE: Duration = Duration::from_millis(700);
+
+/// What the worker says of itself in a heartbeat.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WorkerReport {
+    /// The worker's life.
+    pub life: WorkerLife,
+    /// Number of the report, rising in this life.
+    pub sequence: u64,
+    /// Service, zone, labels, resources, and whether it leaves.
+    pub info: WorkerInfo,
+}
+
+/// What the caller is to carry out.
+#[derive(Debug)]
+pub enum Effect {
+    /// Send a frame on a session.
+    Send(SessionId, PoolFrame),
+    /// Start a run at the worker.
+    Start(StartCall),
+    /// Stop a run at the worker.
+    Stop(StopCall),
+    /// Look at the worker now, without waiting for an end.
+    Look,
+}
+
+/// Figures for the metrics.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct KeeperLevels {
+    /// Runs that hold room.
+    pub runs: usize,
+    /// Room that is offered.
+    pub free: Room,
+    /// True if the worker takes runs.
+    pub open: bool,
+}
+
+/// The worker in its current life.
+#[derive(Debug)]
+struct Worker {
+    life: WorkerLife,
+    info: WorkerInfo,
+    sequence: u64,
+    seen: u64,
+    listed: bool,
+    foreign: Vec<RunId>,
+    heard_at: Instant,
+}
+
+/// The decisions of an agent.
+pub struct Keeper {
+    worker: Option<Worker>,
+    lease: Lease,
+    runs: Runs,
+    clients: Clients,
+    view: OperatorView,
+    closing: bool,
+    /// True once the worker has listed its runs and none of an earlier agent is left.
+    knows_all_runs: bool,
+    effects: Vec<Effect>,
+    told: Option<WorkerInfo>,
+    told_free: Option<Room>,
+    probe_base: Instant,
+}
+
+impl Keeper {
+    /// Creates an agent that knows no worker. `unix_ms` is the time of day.
+    #[must_use]
+    pub fn new(lease: Duration, unix_ms: u64, now: Instant) -> Self {
+        Self {
+            worker: None,
+            lease: Lease::new(lease, unix_ms),
+            runs: Runs::default(),
+            clients: Clients::default(),
+            view: OperatorView::default(),
+            closing: false,
+            knows_all_runs: false,
+            effects: Vec::new(),
+            told: None,
+            told_free: None,
+            probe_base: now,
+        }
+    }
+
+    /// Takes the effects of what happened since the last call.
+    pub fn take_effects(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Returns the figures for the metrics.
+    #[must_use]
+    pub fn levels(&self, now: Instant) -> KeeperLevels {
+        KeeperLevels {
+            runs: self.runs.iter().count(),
+            free: self.free(now),
+            open: self.offered(now).is_some_and(|info| !info.leaving),
+        }
+    }
+
+    /// Returns true if nothing runs.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.runs.is_empty()
+    }
+
+    /// Returns true once a worker has reported.
+    #[must_use]
+    pub fn knows_worker(&self) -> bool {
+        self.worker.is_some()
+    }
+
+    /// Takes over what the worker says of itself. Returns false if it is out of date.
+    pub fn worker_reported(&mut self, report: WorkerReport, now: Instant) -> bool {
+        if let Some(worker) = &mut self.worker {
+            if worker.life == report.life {
+                if report.sequence < worker.sequence {
+                    return false;
+                }
+                worker.sequence = report.sequence;
+                worker.info = report.info;
+                self.publish(now);
+                return true;
+            }
+            if report.life.born_ms < worker.life.born_ms {
+                return false;
+            }
+        }
+        log::info!(worker:% = report.life.id, born_ms = report.life.born_ms; "worker started");
+        self.lose_all_runs(now);
+        self.lease.reset();
+        self.worker = Some(Worker {
+            life: report.life,
+            info: report.info,
+            sequence: report.sequence,
+            seen: 0,
+            listed: false,
+            foreign: Vec::new(),
+            heard_at: now,
+        });
+        self.effects.push(Effect::Look);
+        self.publish(now);
+        true
+    }
+
+    /// Notes that the worker has ended in order.
+    pub fn worker_left(&mut self, id: &str, now: Instant) {
+        if self.worker.as_ref().is_some_and(|w| &*w.life.id == id) {
+            log::info!(worker = id; "worker left");
+            self.lose_all_runs(now);
+            self.worker = None;
+            self.publish(now);
+        }
+    }
+
+    /// Opens a session with an entry and tells it the worker and what runs for it.
+    pub fn session_opened(&mut self, id: &ClientId, session: SessionId, now: Instant) {
+        self.clients.open(id, session, now);
+        let held = |run: &&Run| run.client == *id;
+        let mut running: Vec<RunId> = self.runs.iter().filter(held).map(order_id).collect();
+        running.sort();
+        let ended = self
+            .clients
+            .get(id)
+            .map_or_else(Vec::new, |c| c.late_ends());
+        let resume = Resume {
+            entry: id.incarnation,
+            running,
+            ended,
+            complete: self.knows_all_runs,
+        };
+        let frames = [
+            PoolFrame::Entries(self.clients.addrs()),
+            PoolFrame::View(Box::new(self.view.clone())),
+            PoolFrame::Resume(resume),
+            PoolFrame::Worker(self.offered(now)),
+            PoolFrame::Free(FreeRoom {
+                room: self.free(now),
+                orders_seen: 0,
+            }),
+        ];
+        let sends = frames.into_iter().map(|frame| Effect::Send(session, frame));
+        self.effects.extend(sends);
+    }
+
+    /// Notes that a session has ended. What runs for the entry goes on for a while.
+    pub fn session_closed(&mut self, session: SessionId) {
+        self.clients.close(session);
+    }
+
+    /// Returns the time to put into a probe.
+    #[must_use]
+    pub fn probe(&self, now: Instant) -> u64 {
+        let since = now.saturating_duration_since(self.probe_base);
+        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// Notes the answer to a probe.
+    pub fn echoed(&mut self, session: SessionId, probe: u64, now: Instant) {
+        let sent_at = (self.probe_base + Duration::from_millis(probe)).min(now);
+        if let Some(client) = self.clients.of_session(session) {
+            client.heard(sent_at);
+        }
+    }
+
+    /// Takes over addresses of entries. Returns true if one is new.
+    pub fn learn_entries(&mut self, entries: &[EntryAddr]) -> bool {
+        let news = self.clients.learn(entries);
+        if news {
+            let all = self.clients.addrs();
+            self.send_all(|_| PoolFrame::Entries(all.clone()));
+        }
+        news
+    }
+
+    /// Lists the known entries.
+    #[must_use]
+    pub fn entries(&self) -> Vec<EntryAddr> {
+        self.clients.addrs()
+    }
+
+    /// Takes over operators' orders if they are newer, and passes them on to the other entries.
+    pub fn view_offered(&mut self, session: SessionId, view: OperatorView, now: Instant) {
+        if view.position <= self.view.position {
+            return;
+        }
+        log::info!(position = view.position, version = view.config_version; "operators' orders");
+        self.view = view;
+        let others: Vec<SessionId> = self.clients.sessions().map(|(s, _)| s).collect();
+        for other in others.into_iter().filter(|s| *s != session) {
+            let frame = PoolFrame::View(Box::new(self.view.clone()));
+            self.effects.push(Effect::Send(other, frame));
+        }
+        self.publish(now);
+    }
+
+    /// Takes over runs of an entry. Each is started or answered by its end at once.
+    pub fn run(&mut self, session: SessionId, orders: Vec<RunOrder>, now: Instant) {
+        let Some(id) = self.clients.id_of(session) else {
+            return;
+        };
+        for order in orders {
+            if let Some(client) = self.clients.of_session(session) {
+                client.orders_seen += 1;
+            }
+            match self.refusal(&id, &order, now) {
+                Some(reason) => {
+                    let result = RunResult::NotStarted(reason);
+                    let end = RunEnd {
+                        id: order.id,
+                        result,
+                        took_ms: 0,
+                    };
+                    self.tell_end(&id, end, now);
+                }
+                None => self.start(&id, order, now),
+            }
+        }
+        self.publish(now);
+    }
+
+    /// Stops runs of an entry.
+    pub fn stop(&mut self, session: SessionId, ids: &[RunId], now: Instant) {
+        let Some(client) = self.clients.id_of(session) else {
+            return;
+        };
+        for id in ids {
+            let Some(run) = self.runs.get_mut(&id.task) else {
+                continue;
+            };
+            if run.client == client && run.order.id.run == id.run {
+                run.stopping = true;
+            }
+        }
+        self.send_stops(now);
+    }
+
+    /// Does what depends on time alone.
+    pub fn tick(&mut self, now: Instant) {
+        let clients = &self.clients;
+        for run in self.runs.iter_mut().filter(|run| !run.stopping) {
+            if !clients
+                .get(&run.client)
+                .is_some_and(|c| c.has_authority(now))
+            {
+                log::info!(run:% = run.order.id, entry:% = run.client.name; "stopped: entry is silent");
+                run.stopping = true;
+            }
+        }
+        self.send_stops(now);
+        self.resolve_unanswered(now);
+        self.lose_lapsed(now);
+        let runs = &self.runs;
+        let has_runs = |id: &ClientId| runs.iter().any(|run| run.client == *id);
+        self.clients.forget_gone(has_runs, now);
+        if let Some(oldest) = now.checked_sub(KEEP_RUN_NUMBERS) {
+            self.runs.forget_numbers(oldest);
+        }
+        self.publish(now);
+    }
+
+    /// Takes nothing new from now on. What runs goes on.
+    pub fn close(&mut self, now: Instant) {
+        self.closing = true;
+        self.publish(now);
+    }
+
+    fn refusal(&self, id: &ClientId, order: &RunOrder, now: Instant) -> Option<NotStartedReason> {
+        let Some(info) = self.offered(now) else {
+            return Some(NotStartedReason::NoBackend);
+        };
+        if info.leaving {
+            return Some(NotStartedReason::ShuttingDown);
+        }
+        if self.view.zones_out.contains(&info.zone) {
+            return Some(NotStartedReason::ZoneOut);
+        }
+        if !self.clients.get(id).is_some_and(|c| c.has_authority(now)) {
+            return Some(NotStartedReason::ViewStale);
+        }
+        if self.runs.contains(&order.id.task) {
+            return Some(NotStartedReason::AlreadyKnown);
+        }
+        let fits = self.free(now).holds(&order.room);
+        (!fits).then_some(NotStartedReason::NoRoom)
+    }
+
+    fn start(&mut self, client: &ClientId, order: RunOrder, now: Instant) {
+        let worker_run = self.runs.next_worker_run(&order.id);
+        self.runs.insert(Run {
+            order: order.clone(),
+            client: client.clone(),
+            worker_run,
+            phase: Phase::Starting {
+                token: self.lease.token(),
+                sent_at: now,
+                unanswered: false,
+            },
+            since: now,
+            progress: (0, now),
+            stop_sent: None,
+            stopping: false,
+            stuck: false,
+        });
+        self.send_start(&order.id, now);
+    }
+
+    /// Returns the room that entries may use.
+    fn free(&self, now: Instant) -> Room {
+        match self.offered(now) {
+            Some(info) if !info.leaving => info.capacity.minus(self.runs.reserved()),
+            _ => Room::default(),
+        }
+    }
+
+    /// Returns what entries are told of the worker: nothing while it cannot be used.
+    fn offered(&self, now: Instant) -> Option<WorkerInfo> {
+        let worker = self.worker.as_ref()?;
+        let silent = now.saturating_duration_since(worker.heard_at) > WORKER_SILENCE;
+        if !worker.listed || !worker.foreign.is_empty() || silent {
+            return None;
+        }
+        let mut info = worker.info.clone();
+        info.leaving |= self.closing;
+        Some(info)
+    }
+
+    /// Tells the entries of changes of the worker and of its free room.
+    fn publish(&mut self, now: Instant) {
+        let offered = self.offered(now);
+        self.knows_all_runs |= offered.is_some();
+        if self.told != offered {
+            log::info!(
+                usable = offered.is_some(),
+                leaving = offered.as_ref().is_some_and(|info| info.leaving);
+                "worker changed"
+            );
+            self.told.clone_from(&offered);
+            self.send_all(|_| PoolFrame::Worker(offered.clone()));
+        }
+        let room = self.free(now);
+        if self.told_free != Some(room) {
+            self.told_free = Some(room);
+            self.send_all(|orders_seen| PoolFrame::Free(FreeRoom { room, orders_seen }));
+        }
+    }
+
+    fn send_all(&mut self, frame: impl Fn(u64) -> PoolFrame) {
+        for (session, orders_seen) in self.clients.sessions() {
+            self.effects.push(Effect::Send(session, frame(orders_seen)));
+        }
+    }
+
+    fn tell_end(&mut self, client: &ClientId, end: RunEnd, now: Instant) {
+        let Some(client) = self.clients.get_mut(client) else {
+            return;
+        };
+        if let Some(session) = client.session {
+            let frame = PoolFrame::Ended(vec![end.clone()]);
+            self.effects.push(Effect::Send(session, frame));
+        }
+        client.keep_end(end, now);
+    }
+
+    /// Removes a run that has ended and tells its entry.
+    fn finish(&mut self, id: &RunId, result: RunResult, now: Instant) {
+        let Some(run) = self.runs.remove(&id.task) else {
+            return;
+        };
+        let took = now.saturating_duration_since(run.since);
+        let result = match result {
+            RunResult::Stopped if run.stuck => RunResult::Stuck,
+            other => other,
+        };
+        let end = RunEnd {
+            id: run.order.id,
+            result,
+            took_ms: u32::try_from(took.as_millis()).unwrap_or(u32::MAX),
+        };
+        log::debug!(run:% = end.id, result:? = end.result, took_ms = end.took_ms; "run ended");
+        self.tell_end(&run.client, end, now);
+    }
+
+    fn lose_all_runs(&mut self, now: Instant) {
+        let mut ids: Vec<RunId> = self.runs.iter().map(|run| run.order.id.clone()).collect();
+        ids.sort();
+        for id in ids {
+            log::info!(run:% = id; "run lost with its worker");
+            self.finish(&id, RunResult::Lost, now);
+        }
+    }
+}
+
+fn order_id(run: &Run) -> RunId {
+    run.order.id.clone()
+}
--- /dev/null
+++ b/crates/masticcross-jobs/src/keeper/runs.rs
@@ -0,0 +1,144 @@
+//! What an agent has started at its worker, and the room that it takes.
+
+use masticcross_wire::pool::{Room, RunId, RunOrder, TaskId};
+use rustc_hash::FxHashMap;
+use tokio::time::Instant;
+
+use super::clients::ClientId;
+
+/// How far a run is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// The start was sent and is not answered.
+    Starting {
+        /// Token of the start.
+        token: u64,
+        /// When it was sent.
+        sent_at: Instant,
+        /// True if no answer can be expected any more.
+        unanswered: bool,
+    },
+    /// The worker has it.
+    Running {
+        /// The worker's clock when it was there for the first time, in milliseconds.
+        since_clock_ms: u64,
+    },
+}
+
+/// A run that holds room.
+#[derive(Debug, Clone)]
+pub struct Run {
+    /// The order.
+    pub order: RunOrder,
+    /// Entry that gave it.
+    pub client: ClientId,
+    /// Number of the run at the worker.
+    pub worker_run: u32,
+    /// How far it is.
+    pub phase: Phase,
+    /// When the order arrived.
+    pub since: Instant,
+    /// Last progress: percent, and when it was first seen.
+    pub progress: (u32, Instant),
+    /// When its stop was last sent, if it is to stop.
+    pub stop_sent: Option<Instant>,
+    /// True if it is to stop.
+    pub stopping: bool,
+    /// True if it is stopped for lack of progress.
+    pub stuck: bool,
+}
+
+/// All runs that hold room, by task. A task has one run at a time.
+#[derive(Debug, Default)]
+pub struct Runs {
+    by_task: FxHashMap<TaskId, Run>,
+    reserved: Room,
+    highest: FxHashMap<TaskId, (u32, Instant)>,
+}
+
+impl Runs {
+    /// Returns the room that all runs hold.
+    #[must_use]
+    pub fn reserved(&self) -> Room {
+        self.reserved
+    }
+
+    /// Returns true if a run of the task holds room.
+    #[must_use]
+    pub fn contains(&self, task: &TaskId) -> bool {
+        self.by_task.contains_key(task)
+    }
+
+    /// Returns the run of a task.
+    #[must_use]
+    pub fn get(&self, task: &TaskId) -> Option<&Run> {
+        self.by_task.get(task)
+    }
+
+    /// Returns the run of a task, to be changed.
+    pub fn get_mut(&mut self, task: &TaskId) -> Option<&mut Run> {
+        self.by_task.get_mut(task)
+    }
+
+    /// Lists all runs.
+    pub fn iter(&self) -> impl Iterator<Item = &Run> {
+        self.by_task.values()
+    }
+
+    /// Lists all runs, to be changed.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Run> {
+        self.by_task.values_mut()
+    }
+
+    /// Returns true if nothing holds room.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.by_task.is_empty()
+    }
+
+    /// Returns the number for the next start of a task at the worker.
+    #[must_use]
+    pub fn next_worker_run(&self, id: &RunId) -> u32 {
+        let highest = self.highest.get(&id.task).map_or(0, |(run, _)| *run);
+        id.run.max(highest + 1)
+    }
+
+    /// Adds a run and reserves its room.
+    pub fn insert(&mut self, run: Run) {
+        let task = run.order.id.task.clone();
+        self.reserved = self.reserved.plus(run.order.room);
+        self.highest
+            .insert(task.clone(), (run.worker_run, run.since));
+        self.by_task.insert(task, run);
+    }
+
+    /// Raises the number of a run at the worker.
+    pub fn renumber(&mut self, task: &TaskId, worker_run: u32) {
+        if let Some(run) = self.by_task.get_mut(task) {
+            run.worker_run = worker_run;
+            self.highest.insert(task.clone(), (worker_run, run.since));
+        }
+    }
+
+    /// Removes a run and frees its room.
+    pub fn remove(&mut self, task: &TaskId) -> Option<Run> {
+        let run = self.by_task.remove(task)?;
+        self.reserved = self.reserved.minus(run.order.room);
+        Some(run)
+    }
+
+    /// Removes all runs.
+    pub fn take_all(&mut self) -> Vec<Run> {
+        self.reserved = Room::default();
+        let mut runs: Vec<Run> = self.by_task.drain().map(|(_, run)| run).collect();
+        runs.sort_by(|a, b| a.order.id.cmp(&b.order.id));
+        runs
+    }
+
+    /// Forgets numbers of runs of tasks that were started before `oldest`.
+    pub fn forget_numbers(&mut self, oldest: Instant) {
+        let by_task = &self.by_task;
+        self.highest
+            .retain(|task, (_, at)| *at >= oldest || by_task.contains_key(task));
+    }
+}
--- /dev/null
+++ b/crates/masticcross-jobs/src/lib.rs
@@ -0,0 +1,29 @@
+//! Jobs of tasks with resources: an entry's scheduler and an agent's keeper of its worker.
+//!
+//! An entry takes jobs from callers and sends runs of their tasks to agents. An agent knows what
+//! fits on its worker, holds the worker's lease, and tells every end. Both are plain state machines
+//! ([`scheduler`], [`keeper`]); [`entry`] and [`agent`] connect them to sessions and clocks.
+//!
+//! ```
+//! use masticcross_jobs::Scheduler;
+//!
+//! let mut scheduler = Scheduler::new("zone-a".into());
+//! assert_eq!(scheduler.levels().jobs, 0);
+//! assert!(scheduler.take_effects().is_empty());
+//! ```
+
+pub mod agent;
+pub mod blame;
+pub mod entry;
+pub mod health;
+pub mod job;
+pub mod keeper;
+pub mod runtime;
+pub mod scheduler;
+pub mod worker_client;
+
+pub use agent::Agent;
+pub use entry::Entry;
+pub use job::{JobOutcome, JobRequest, StepRequest};
+pub use keeper::Keeper;
+pub use scheduler::Scheduler;
--- /dev/null
+++ b/crates/masticcross-jobs/src/scheduler/ends.rs
@@ -0,0 +1,229 @@
+//! What the end of a run means for its task, its job and its worker.
+
+use std::time::Duration;
+
+use masticcross_basics::Name;
+use masticcross_wire::NotStartedReason;
+use masticcross_wire::pool::{RunEnd, RunId, RunResult};
+use tokio::time::Instant;
+
+use crate::blame::Verdict;
+use crate::job::JobOutcome;
+
+use super::table::{JobNumber, TaskPos, TaskState};
+use super::{LOST_CONTACT, Scheduler};
+
+/// Pause of a task whose earlier run still holds room at a worker.
+const ALREADY_RUNS: Duration = Duration::from_millis(200);
+
+/// Failures that a run without progress counts for: enough to take the worker out.
+const STUCK_FAILURES: u32 = 3;
+
+impl Scheduler {
+    /// Marks the runs at an agent as out of reach.
+    pub(super) fn lose_contact(&mut self, name: &Name, now: Instant) {
+        for job in self.jobs.values_mut() {
+            let here: Vec<TaskPos> = job
+                .tasks()
+                .filter(|(_, task)| task.state == TaskState::Running(name.clone()))
+                .map(|(pos, _)| pos)
+                .collect();
+            for pos in here {
+                if let Some(task) = job.task_mut(pos) {
+                    task.state = TaskState::Unreachable(name.clone(), now + LOST_CONTACT);
+                }
+            }
+        }
+    }
+
+    /// Compares the runs believed at an agent with those that it holds: what it neither runs nor
+    /// has told the end of never reached it, or ended with an earlier agent.
+    pub(super) fn compare_runs(&mut self, name: &Name, running: &[RunId], now: Instant) {
+        let mut missing = Vec::new();
+        for job in self.jobs.values_mut() {
+            let here = |(pos, task): (TaskPos, &super::table::Task)| match &task.state {
+                TaskState::Running(worker) | TaskState::Unreachable(worker, _)
+                    if worker == name =>
+                {
+                    Some((pos, task.run))
+                }
+                _ => None,
+            };
+            let here: Vec<(TaskPos, u32)> = job.tasks().filter_map(here).collect();
+            for (pos, run) in here {
+                let run = job.run_id(pos, run);
+                if running.contains(&run) {
+                    if let Some(task) = job.task_mut(pos) {
+                        task.state = TaskState::Running(name.clone());
+                    }
+                } else {
+                    missing.push(run);
+                }
+            }
+        }
+        for id in missing {
+            log::info!(run:% = id, worker:% = name; "run did not reach the agent");
+            let end = RunEnd {
+                id,
+                result: RunResult::Lost,
+                took_ms: 0,
+            };
+            self.run_ended(name, &end, now);
+        }
+    }
+
+    /// Gives up what could not be reached at a worker that can be used again: its agent has told what
+    /// it holds, or is a new one that has cleared the worker.
+    pub(super) fn lose_unreachable(&mut self, name: &Name, now: Instant) {
+        let mut held = Vec::new();
+        for job in self.jobs.values() {
+            let here = |task: &super::table::Task| match &task.state {
+                TaskState::Running(worker) => worker == name,
+                _ => false,
+            };
+            let here = job.tasks().filter(|(_, task)| here(task));
+            held.extend(here.map(|(pos, task)| job.run_id(pos, task.run)));
+        }
+        self.compare_runs(name, &held, now);
+    }
+
+    /// Takes over the end of a run, unless the task is not under this run any more.
+    pub(super) fn run_ended(&mut self, name: &Name, end: &RunEnd, now: Instant) {
+        let Some(&number) = self.by_id.get(&end.id.task.job) else {
+            return;
+        };
+        let pos = (end.id.task.step, end.id.task.index);
+        let Some(task) = self.jobs.get_mut(&number).and_then(|job| job.task_mut(pos)) else {
+            return;
+        };
+        let is_here = match &task.state {
+            TaskState::Running(worker) | TaskState::Unreachable(worker, _) => worker == name,
+            _ => false,
+        };
+        if !is_here || task.run != end.id.run {
+            return;
+        }
+        task.state = TaskState::Waiting;
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.running = worker.running.saturating_sub(1);
+        }
+        if !matches!(end.result, RunResult::NotStarted(_)) {
+            self.jobs.entry(number).and_modify(|job| job.ran = true);
+        }
+        if end.result != RunResult::Done {
+            log::info!(run:% = end.id, worker:% = name, result:? = end.result, took_ms = end.took_ms; "run ended");
+        }
+        match end.result {
+            RunResult::Done => self.task_done(number, pos, name, end, now),
+            RunResult::Failed => self.task_failed(number, pos, name, now),
+            RunResult::Stuck => self.task_stuck(number, pos, name, now),
+            RunResult::Stopped | RunResult::Lost => {}
+            RunResult::NotStarted(reason) => self.not_started(number, pos, name, reason, now),
+        }
+        self.rank(number, now);
+    }
+
+    fn task_done(
+        &mut self,
+        number: JobNumber,
+        pos: TaskPos,
+        name: &Name,
+        end: &RunEnd,
+        now: Instant,
+    ) {
+        let Some(job) = self.jobs.get_mut(&number) else {
+            return;
+        };
+        let expected = f64::from(job.step(pos).expected_ms.max(1));
+        let all_done = job.done(pos);
+        let ratio = f64::from(end.took_ms.max(1)) / expected;
+        self.ratios.add(Duration::from_secs_f64(ratio));
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.observe(ratio, &self.ratios);
+            worker.health.succeeded(now);
+        }
+        if all_done {
+            self.end_job(number, JobOutcome::Completed);
+        }
+    }
+
+    fn task_failed(&mut self, number: JobNumber, pos: TaskPos, name: &Name, now: Instant) {
+        let Some(job) = self.jobs.get_mut(&number) else {
+            return;
+        };
+        let max_attempts = job.queue.max_attempts.max(1);
+        let Some(task) = job.task_mut(pos) else {
+            return;
+        };
+        task.failures += 1;
+        task.avoid.push(name.clone());
+        let given_up = task.failures >= max_attempts;
+        match self.blame.failed(&number, name.clone()) {
+            Verdict::Worker => self.worker_failed(name, 1, now),
+            Verdict::Job(counted) => {
+                for (worker, failures) in counted {
+                    if let Some(worker) = self.workers.get_mut(&worker) {
+                        worker.health.excuse(failures, now);
+                    }
+                }
+            }
+        }
+        if given_up {
+            self.end_job(number, JobOutcome::Failed);
+        }
+    }
+
+    fn task_stuck(&mut self, number: JobNumber, pos: TaskPos, name: &Name, now: Instant) {
+        let job = self.jobs.get_mut(&number);
+        if let Some(task) = job.and_then(|job| job.task_mut(pos)) {
+            task.avoid.push(name.clone());
+        }
+        self.worker_failed(name, STUCK_FAILURES, now);
+    }
+
+    fn not_started(
+        &mut self,
+        number: JobNumber,
+        pos: TaskPos,
+        name: &Name,
+        reason: NotStartedReason,
+        now: Instant,
+    ) {
+        match reason {
+            NotStartedReason::ConnectFailed => self.worker_failed(name, 1, now),
+            NotStartedReason::AlreadyKnown => {
+                let job = self.jobs.get_mut(&number);
+                if let Some(task) = job.and_then(|job| job.task_mut(pos)) {
+                    task.state = TaskState::Paused(now + ALREADY_RUNS);
+                }
+            }
+            NotStartedReason::ViewStale
+            | NotStartedReason::NoBackend
+            | NotStartedReason::ShuttingDown
+            | NotStartedReason::ZoneOut => {
+                if let Some(worker) = self.workers.get_mut(name) {
+                    worker.health.pause(now);
+                }
+            }
+            NotStartedReason::NoRoom
+            | NotStartedReason::OldEpoch
+            | NotStartedReason::Stopped
+            | NotStartedReason::DeadlinePassed => {}
+        }
+    }
+
+    /// Counts failures against a worker. Half of the workers stay in whatever happens.
+    fn worker_failed(&mut self, name: &Name, failures: u32, now: Instant) {
+        let known = self.workers.values().filter(|w| w.info.is_some());
+        let out = known.clone().filter(|w| w.health.is_out()).count();
+        let may_leave = (out + 1) * 2 <= known.count();
+        if let Some(worker) = self.workers.get_mut(name) {
+            for _ in 0..failures {
+                worker.health.failed(now, may_leave);
+            }
+            if worker.health.is_out() {
+                log::info!(worker:% = name; "worker taken out after failures");
+            }
+        }
+    }
+}
--- a/crates/masticcross-wire/src/codec/mod.rs
+++ b/crates/masticcross-wire/src/codec/mod.rs
@@ -89,6 +89,7 @@
         Frame::Backends(backends) => backends.len() * PART_BYTES,
         Frame::WhoHears(agents) => agents.len() * PART_BYTES,
         Frame::Heard { asked, heard } => (asked.len() + heard.len()) * PART_BYTES,
+        Frame::Pool(frame) => frame.parts() * PART_BYTES + frame.text_bytes(),
         Frame::Hello(_)
         | Frame::Goodbye(_)
         | Frame::Ping(_)
--- a/crates/masticcross-wire/src/frame.rs
+++ b/crates/masticcross-wire/src/frame.rs
@@ -10,6 +10,7 @@
 
 use crate::Incarnation;
 use crate::job::{JobAnswer, JobRecord, JobRequest, Json};
+use crate::pool::PoolFrame;
 use crate::view::{AgentView, ViewVersion};
 
 /// What a process is.
@@ -319,7 +320,7 @@
 }
 
 /// One message between two processes.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Frame {
     /// First frame in both directions.
     Hello(Hello),
@@ -368,4 +369,6 @@
         /// Those of them that the sender hears.
         heard: Vec<AgentStart>,
     },
+    /// About tasks with resources.
+    Pool(PoolFrame),
 }
--- a/crates/masticcross-wire/src/kind.rs
+++ b/crates/masticcross-wire/src/kind.rs
@@ -28,6 +28,7 @@
             Self::Drain => "drain",
             Self::WhoHears(_) => "who_hears",
             Self::Heard { .. } => "heard",
+            Self::Pool(frame) => frame.kind(),
         }
     }
 }
--- a/crates/masticcross-wire/src/lib.rs
+++ b/crates/masticcross-wire/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod job;
 mod kind;
 pub mod link;
+pub mod pool;
 pub mod view;
 pub mod ws;
 
