Find returned entries sooner, count unanswered starts little, stop entries in order

A worker that starts anew under its id keeps runs that its lists show. Ruled out: worker heartbeats as the cause of the slow return: workers were usable 0.2 s after power, sessions 1 s later.

--- a/crates/masticcross-basics/src/logging.rs
+++ b/crates/masticcross-basics/src/logging.rs
@@ -54,14 +54,17 @@
 
 /// Sets up JSON lines on standard output, written by a thread of its own. A line is dropped and
 /// counted, rather than waited for, when too many wait.
-pub fn init_stdout(default_levels: &str) {
+/// Returns a guard that waits for the last lines when it is closed.
+#[must_use]
+pub fn init_stdout(default_levels: &str) -> LogGuard {
     let (tx, rx) = mpsc::sync_channel::<Vec<u8>>(QUEUED_LINES);
     let dropped = Arc::new(AtomicU64::new(0));
     let writer = LineQueue {
-        tx,
+        tx: tx.clone(),
         dropped: dropped.clone(),
     };
-    std::thread::spawn(move || write_lines(&rx, &dropped));
+    let end = tx;
+    let thread = std::thread::spawn(move || write_lines(&rx, &dropped));
     let env = env_logger::Env::default().default_filter_or(default_levels);
     let mut builder = env_logger::Builder::from_env(env);
     builder.target(env_logger::Target::Pipe(Box::new(writer)));
@@ -71,6 +74,24 @@
     });
     // A second call in the same process keeps the first set-up.
     let _ = builder.try_init();
+    LogGuard { end, thread }
+}
+
+/// Keeps the thread that writes the log.
+#[derive(Debug)]
+pub struct LogGuard {
+    end: mpsc::SyncSender<Vec<u8>>,
+    thread: std::thread::JoinHandle<()>,
+}
+
+impl LogGuard {
+    /// Writes what waits, and ends the log.
+    pub fn close(self) {
+        // An empty line ends the thread; if it has ended already, there is nothing to wait for.
+        if self.end.send(Vec::new()).is_ok() {
+            let _ = self.thread.join();
+        }
+    }
 }
 
 /// Hands lines to the thread that writes them.
@@ -95,8 +116,11 @@
 /// Writes what waits together, and says how many lines were dropped since.
 fn write_lines(lines: &mpsc::Receiver<Vec<u8>>, dropped: &AtomicU64) {
     let mut stdout = std::io::stdout();
-    while let Ok(mut buf) = lines.recv() {
+    let mut open = true;
+    while open && let Ok(mut buf) = lines.recv() {
+        open = !buf.is_empty();
         while let Ok(line) = lines.try_recv() {
+            open &= !line.is_empty();
             buf.extend(line);
         }
         let dropped = dropped.swap(0, Ordering::Relaxed);
--- a/crates/masticcross-jobs/src/agent.rs
+++ b/crates/masticcross-jobs/src/agent.rs
@@ -24,12 +24,13 @@
 /// Silence after which a session is closed.
 const SESSION_SILENCE: Duration = Duration::from_millis(600);
 
-/// Longest wait for an entry's first frame.
-const HELLO_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest wait for an entry's first frame. The opening packet to a machine that is down is sent
+/// again only after a second or more, so that a new dial finds a returned machine sooner.
+const HELLO_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Pause after a failed dial; it doubles up to the greatest.
-const FIRST_REDIAL: Duration = Duration::from_millis(50);
-const MAX_REDIAL: Duration = Duration::from_millis(800);
+const FIRST_REDIAL: Duration = Duration::from_millis(25);
+const MAX_REDIAL: Duration = Duration::from_millis(200);
 
 /// Time after which an address at which nothing was ever heard is not dialled any more.
 const FORGET_ADDR: Duration = Duration::from_secs(60);
--- a/crates/masticcross-jobs/src/entry.rs
+++ b/crates/masticcross-jobs/src/entry.rs
@@ -113,10 +113,11 @@
         self.state.lock().scheduler.levels().jobs
     }
 
-    /// Returns operators' orders, once they are known.
+    /// Returns true if operators' orders are known and a worker can be used.
     #[must_use]
-    pub fn view(&self) -> Option<OperatorView> {
-        self.state.lock().scheduler.view().cloned()
+    pub fn is_useful(&self) -> bool {
+        let state = self.state.lock();
+        state.scheduler.view().is_some() && state.scheduler.levels().workers > 0
     }
 
     /// Calls a function with operators' orders, if they are known.
--- a/crates/masticcross-jobs/src/health.rs
+++ b/crates/masticcross-jobs/src/health.rs
@@ -10,6 +10,10 @@
 /// Part of a failure that a success makes up for.
 const SUCCESS_WORTH: f64 = 0.25;
 
+/// Part of a failure that an order without answer counts for. A few are lost on the way to a worker
+/// that is sound.
+const UNANSWERED_WORTH: f64 = 0.3;
+
 /// Time that a worker is out before its first probe. It doubles with each failed probe.
 const FIRST_BACKOFF: Duration = Duration::from_secs(1);
 const MAX_BACKOFF: Duration = Duration::from_mins(1);
@@ -128,9 +132,18 @@
         }
     }
 
+    /// Notes an order that the worker did not answer. It is taken out only if `may_leave`.
+    pub fn unanswered(&mut self, now: Instant, may_leave: bool) {
+        self.count(UNANSWERED_WORTH, now, may_leave);
+    }
+
     /// Notes a failure that counts against the worker. It is taken out only if `may_leave`.
     pub fn failed(&mut self, now: Instant, may_leave: bool) {
-        self.failures += 1.0;
+        self.count(1.0, now, may_leave);
+    }
+
+    fn count(&mut self, failures: f64, now: Instant, may_leave: bool) {
+        self.failures += failures;
         match self.standing {
             Standing::Probing { .. } => self.leave(now, true),
             Standing::In if self.failures >= FAILURES_OUT && may_leave => {
--- a/crates/masticcross-jobs/src/keeper/calls.rs
+++ b/crates/masticcross-jobs/src/keeper/calls.rs
@@ -8,7 +8,7 @@
 
 use crate::worker_client::{
     CallError, LookCall, Result, StartAnswer, StartCall, StartVerdict, StopCall, WorkerEnd,
-    WorkerLists,
+    WorkerLife, WorkerLists,
 };
 
 use super::runs::Phase;
@@ -221,17 +221,23 @@
     }
 
     fn listed(&mut self, token: u64, lists: WorkerLists, now: Instant) {
-        let Some(worker) = &mut self.worker else {
+        let Some(life) = self.worker.as_ref().map(|worker| worker.life.clone()) else {
             return;
         };
-        if lists.born_ms != worker.life.born_ms {
-            log::warn!(born_ms = lists.born_ms; "lists of another life of the worker");
-            self.lose_all_runs(now);
-            self.worker = None;
+        if lists.born_ms < life.born_ms {
+            log::warn!(born_ms = lists.born_ms; "lists of an earlier life of the worker");
             return;
         }
+        if lists.born_ms > life.born_ms {
+            self.begin_life(WorkerLife {
+                id: life.id,
+                born_ms: lists.born_ms,
+            });
+        }
         self.lease.clock_seen(lists.clock_ms, now);
-        worker.heard_at = now;
+        if let Some(worker) = &mut self.worker {
+            worker.heard_at = Some(now);
+        }
         let full = lists.ended.len() >= FULL_LIST;
         self.take_ends(&lists, now);
         self.take_running(&lists, now);
--- a/crates/masticcross-jobs/src/keeper/lease.rs
+++ b/crates/masticcross-jobs/src/keeper/lease.rs
@@ -64,9 +64,8 @@
     }
 
     /// Forgets the worker's clock, as it has started anew.
-    pub fn reset(&mut self) {
+    pub fn forget_clock(&mut self) {
         self.clock = None;
-        self.sent_at = None;
     }
 
     /// Returns the end of a lease that is asked for now, on the worker's clock, and notes that it
--- a/crates/masticcross-jobs/src/keeper/mod.rs
+++ b/crates/masticcross-jobs/src/keeper/mod.rs
@@ -83,12 +83,14 @@
 #[derive(Debug)]
 struct Worker {
     life: WorkerLife,
-    info: WorkerInfo,
+    /// What the worker says of itself; none until it has in this life.
+    info: Option<WorkerInfo>,
     sequence: u64,
     seen: u64,
     listed: bool,
     foreign: Vec<RunId>,
-    heard_at: Instant,
+    /// When it last answered a look.
+    heard_at: Option<Instant>,
 }
 
 /// The decisions of an agent.
@@ -156,34 +158,55 @@
     /// Takes over what the worker says of itself. Returns false if it is out of date.
     pub fn worker_reported(&mut self, report: WorkerReport, now: Instant) -> bool {
         if let Some(worker) = &mut self.worker {
+            let born_ms = report.life.born_ms;
+            if born_ms < worker.life.born_ms
+                || (worker.life == report.life && report.sequence < worker.sequence)
+            {
+                return false;
+            }
             if worker.life == report.life {
-                if report.sequence < worker.sequence {
-                    return false;
-                }
                 worker.sequence = report.sequence;
-                worker.info = report.info;
+                worker.info = Some(report.info);
                 self.publish(now);
                 return true;
             }
-            if report.life.born_ms < worker.life.born_ms {
-                return false;
+        }
+        let same_id = self
+            .worker
+            .as_ref()
+            .is_some_and(|w| w.life.id == report.life.id);
+        if !same_id {
+            self.lose_all_runs(now);
+        }
+        self.begin_life(report.life);
+        if let Some(worker) = &mut self.worker {
+            worker.sequence = report.sequence;
+            worker.info = Some(report.info);
+        }
+        self.publish(now);
+        true
+    }
+
+    /// Begins a life of the worker, of which nothing is known but that it runs. Orders meant for an
+    /// earlier life under the same id may have reached this one: the first look tells.
+    fn begin_life(&mut self, life: WorkerLife) {
+        log::info!(worker:% = life.id, born_ms = life.born_ms; "worker started");
+        for run in self.runs.iter_mut() {
+            if let Phase::Running { since_clock_ms } = &mut run.phase {
+                *since_clock_ms = 0;
             }
         }
-        log::info!(worker:% = report.life.id, born_ms = report.life.born_ms; "worker started");
-        self.lose_all_runs(now);
-        self.lease.reset();
+        self.lease.forget_clock();
         self.worker = Some(Worker {
-            life: report.life,
-            info: report.info,
-            sequence: report.sequence,
+            life,
+            info: None,
+            sequence: 0,
             seen: 0,
             listed: false,
             foreign: Vec::new(),
-            heard_at: now,
+            heard_at: None,
         });
         self.effects.push(Effect::Look);
-        self.publish(now);
-        true
     }
 
     /// Notes that the worker has ended in order.
@@ -399,11 +422,11 @@
     /// Returns what entries are told of the worker: nothing while it cannot be used.
     fn offered(&self, now: Instant) -> Option<WorkerInfo> {
         let worker = self.worker.as_ref()?;
-        let silent = now.saturating_duration_since(worker.heard_at) > WORKER_SILENCE;
-        if !worker.listed || !worker.foreign.is_empty() || silent {
+        let silence = now.saturating_duration_since(worker.heard_at?);
+        if !worker.listed || !worker.foreign.is_empty() || silence > WORKER_SILENCE {
             return None;
         }
-        let mut info = worker.info.clone();
+        let mut info = worker.info.clone()?;
         info.leaving |= self.closing;
         Some(info)
     }
--- a/crates/masticcross-jobs/src/scheduler/ends.rs
+++ b/crates/masticcross-jobs/src/scheduler/ends.rs
@@ -190,7 +190,12 @@
         now: Instant,
     ) {
         match reason {
-            NotStartedReason::ConnectFailed => self.worker_failed(name, 1, now),
+            NotStartedReason::ConnectFailed => {
+                let may_leave = self.may_take_out();
+                if let Some(worker) = self.workers.get_mut(name) {
+                    worker.health.unanswered(now, may_leave);
+                }
+            }
             NotStartedReason::AlreadyKnown => {
                 let job = self.jobs.get_mut(&number);
                 if let Some(task) = job.and_then(|job| job.task_mut(pos)) {
@@ -212,11 +217,16 @@
         }
     }
 
-    /// Counts failures against a worker. Half of the workers stay in whatever happens.
-    fn worker_failed(&mut self, name: &Name, failures: u32, now: Instant) {
+    /// Returns true if one more worker may be taken out. Half of them stay in whatever happens.
+    fn may_take_out(&self) -> bool {
         let known = self.workers.values().filter(|w| w.info.is_some());
         let out = known.clone().filter(|w| w.health.is_out()).count();
-        let may_leave = (out + 1) * 2 <= known.count();
+        (out + 1) * 2 <= known.count()
+    }
+
+    /// Counts failures against a worker.
+    fn worker_failed(&mut self, name: &Name, failures: u32, now: Instant) {
+        let may_leave = self.may_take_out();
         if let Some(worker) = self.workers.get_mut(name) {
             for _ in 0..failures {
                 worker.health.failed(now, may_leave);
--- a/crates/masticcross-jobs/src/scheduler/mod.rs
+++ b/crates/masticcross-jobs/src/scheduler/mod.rs
@@ -366,8 +366,13 @@
         let outcome = if now >= job.request.deadline {
             give_up(job, Code::DeadlineExceeded, "the caller's time has passed")
         } else if !job.may_have_run() && now >= job.refuse_at() {
-            let detail = "no worker has room for the job in time";
-            give_up(job, Code::Overloaded, detail)
+            if self.serves(&job.queue.service) {
+                let detail = "no worker has room for the job in time";
+                give_up(job, Code::Overloaded, detail)
+            } else {
+                let detail = "no worker of the service is in contact with this entry";
+                give_up(job, Code::NoBackend, detail)
+            }
         } else if let Some(earliest) = earliest_end(job, now)
             && earliest > job.useful_until()
         {
@@ -382,6 +387,12 @@
         self.end_job(number, outcome);
     }
 
+    /// Returns true if a worker of a service can be used.
+    fn serves(&self, service: &Name) -> bool {
+        let usable = |w: &Worker| w.info.as_ref().is_some_and(|i| i.service == *service);
+        self.workers.values().any(usable)
+    }
+
     /// Ends a job: answers its callers and stops what runs.
     fn end_job(&mut self, number: JobNumber, outcome: JobOutcome) {
         self.effects.push(Effect::Answer(number, outcome));
@@ -433,7 +444,7 @@
     let refusal = if job.may_have_run() {
         Refusal::failed(code, detail)
     } else {
-        Refusal::not_run(Code::Overloaded, detail)
+        Refusal::not_run(code, detail)
     };
     JobOutcome::Refused(refusal.retry_after_ms(BUSY_RETRY_MS))
 }
