Look twice at a worker while looks are lost

Change: looks wait 100 ms and count as lost 60 ms later; after a lost one a second look waits beside the first for 3 s; starts count as unanswered after 35 ms. Ruled out: overload: the offered load had fallen before the loss began.

--- a/crates/masticcross-jobs/src/agent.rs
+++ b/crates/masticcross-jobs/src/agent.rs
@@ -15,7 +15,7 @@
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
 
 use crate::keeper::clients::ClientId;
-use crate::keeper::{Effect, Keeper, LOOK_WAIT, SessionId, WorkerReport};
+use crate::keeper::{Effect, Keeper, LOOK_WAIT, START_TIMEOUT, SessionId, WorkerReport};
 use crate::worker_client::{CallError, LookCall, StartCall, StopCall, WorkerClient};
 
 /// Interval of probes on a session.
@@ -39,10 +39,14 @@
 const TICK: Duration = Duration::from_millis(20);
 
 /// Time beyond the worker's wait after which a look counts as unanswered.
-const LOOK_SLACK: Duration = Duration::from_millis(120);
+const LOOK_SLACK: Duration = Duration::from_millis(60);
 
-/// Time after which a start or stop counts as unanswered.
-const CALL_TIMEOUT: Duration = Duration::from_millis(60);
+/// Time after an unanswered look in which two looks wait at the worker, so that an end is seen at
+/// once though one of them is lost.
+const DOUBLE_LOOKS: Duration = Duration::from_secs(3);
+
+/// Time after which a stop counts as unanswered.
+const STOP_TIMEOUT: Duration = Duration::from_millis(60);
 
 /// Pause of the looks while there is no worker.
 const NO_WORKER_PAUSE: Duration = Duration::from_millis(50);
@@ -71,6 +75,7 @@
     next_session: Mutex<SessionId>,
     entries_changed: Notify,
     worker_changed: Notify,
+    missed_look: Mutex<Option<Instant>>,
 }
 
 impl Agent {
@@ -93,6 +98,7 @@
             next_session: Mutex::new(0),
             entries_changed: Notify::new(),
             worker_changed: Notify::new(),
+            missed_look: Mutex::new(None),
         })
     }
 
@@ -101,6 +107,7 @@
         tokio::join!(
             self.clone().keep_sessions(seeds),
             self.clone().keep_looking(),
+            self.clone().keep_looking_twice(),
             self.clone().keep_time(),
         );
     }
@@ -185,14 +192,14 @@
     }
 
     async fn start(self: Arc<Self>, call: StartCall) {
-        let answer = timeout(CALL_TIMEOUT, self.client.start(call.clone())).await;
+        let answer = timeout(START_TIMEOUT, self.client.start(call.clone())).await;
         let answer = answer.unwrap_or_else(|_| Err(no_answer()));
         self.with_keeper(|keeper, now| keeper.started(&call, answer, now));
     }
 
     async fn stop(self: Arc<Self>, call: StopCall) {
         let run = call.run.clone();
-        match timeout(CALL_TIMEOUT, self.client.stop(call)).await {
+        match timeout(STOP_TIMEOUT, self.client.stop(call)).await {
             Ok(Ok(())) => {}
             Ok(Err(error)) => log::info!(run:%, error:%; "run could not be stopped yet"),
             Err(_) => log::info!(run:%; "stop not answered"),
@@ -212,6 +219,9 @@
         let answer = timeout(wait, self.client.look(call.clone())).await;
         let answer = answer.unwrap_or_else(|_| Err(no_answer()));
         let answered = !matches!(answer, Err(CallError::NoAnswer(_)));
+        if !answered {
+            *self.missed_look.lock() = Some(Instant::now());
+        }
         self.with_keeper(|keeper, now| keeper.looked(&call, answer, now));
         answered
     }
@@ -239,6 +249,24 @@
         }
     }
 
+    /// Looks a second time beside [`Self::keep_looking`] while looks are lost.
+    async fn keep_looking_twice(self: Arc<Self>) {
+        loop {
+            let missed = *self.missed_look.lock();
+            if missed.is_none_or(|at| at.elapsed() > DOUBLE_LOOKS) {
+                sleep(TICK).await;
+                continue;
+            }
+            let call = self.with_keeper(|keeper, now| keeper.next_look(0, LOOK_WAIT, now));
+            match call {
+                Some(call) => {
+                    self.look(call).await;
+                }
+                None => sleep(TICK).await,
+            }
+        }
+    }
+
     async fn keep_time(self: Arc<Self>) {
         let mut ticks = interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
--- a/crates/masticcross-jobs/src/keeper/calls.rs
+++ b/crates/masticcross-jobs/src/keeper/calls.rs
@@ -15,10 +15,10 @@
 use super::{Effect, Keeper, STOP_AGAIN};
 
 /// Time after which a start counts as unanswered.
-const START_TIMEOUT: Duration = Duration::from_millis(60);
+pub const START_TIMEOUT: Duration = Duration::from_millis(35);
 
 /// How long the worker may hold back the answer to a look.
-pub const LOOK_WAIT: Duration = Duration::from_millis(250);
+pub const LOOK_WAIT: Duration = Duration::from_millis(100);
 
 /// Answers to looks that may be missing before the lease is not extended any more.
 const UNANSWERED_LOOKS: u32 = 2;
--- a/crates/masticcross-jobs/src/keeper/mod.rs
+++ b/crates/masticcross-jobs/src/keeper/mod.rs
@@ -27,7 +27,7 @@
 
 use crate::worker_client::{StartCall, StopCall, WorkerLife};
 
-pub use calls::LOOK_WAIT;
+pub use calls::{LOOK_WAIT, START_TIMEOUT};
 use clients::{ClientId, Clients};
 use lease::Lease;
 use runs::{Phase, Run, Runs};
