Order waiting jobs by urgency, and let late ones use only room that nobody wants

Cause: under overload four entries race for each freed worker; an entry with only late jobs took room from another's jobs that could still be in time. Change: waiting jobs go by: late last, begun first, the queue's priority, latest start; late runs are marked and an agent refuses them for 150 ms after it had to refuse one that was not late.

--- a/crates/masticcross-jobs/src/keeper/mod.rs
+++ b/crates/masticcross-jobs/src/keeper/mod.rs
@@ -41,6 +41,9 @@
 /// Time after which a stop that shows no effect is sent again.
 const STOP_AGAIN: Duration = Duration::from_millis(200);
 
+/// Time after a refusal for lack of room in which late runs are refused.
+const CROWDED_TIME: Duration = Duration::from_millis(150);
+
 /// Time without a sign of life after which the worker counts as silent.
 const WORKER_SILENCE: Duration = Duration::from_millis(700);
 
@@ -103,6 +106,8 @@
     closing: bool,
     /// True once the worker has listed its runs and none of an earlier agent is left.
     knows_all_runs: bool,
+    /// When a run that was not late was last refused for lack of room.
+    crowded_at: Option<Instant>,
     effects: Vec<Effect>,
     told: Option<WorkerInfo>,
     told_free: Option<Room>,
@@ -121,6 +126,7 @@
             view: OperatorView::default(),
             closing: false,
             knows_all_runs: false,
+            crowded_at: None,
             effects: Vec::new(),
             told: None,
             told_free: None,
@@ -311,6 +317,9 @@
             }
             match self.refusal(&id, &order, now) {
                 Some(reason) => {
+                    if reason == NotStartedReason::NoRoom && !order.late {
+                        self.crowded_at = Some(now);
+                    }
                     let result = RunResult::NotStarted(reason);
                     let end = RunEnd {
                         id: order.id,
@@ -388,7 +397,9 @@
             return Some(NotStartedReason::AlreadyKnown);
         }
         let fits = self.free(now).holds(&order.room);
-        (!fits).then_some(NotStartedReason::NoRoom)
+        let crowded = |at: Instant| now.saturating_duration_since(at) < CROWDED_TIME;
+        let yields = order.late && self.crowded_at.is_some_and(crowded);
+        (!fits || yields).then_some(NotStartedReason::NoRoom)
     }
 
     fn start(&mut self, client: &ClientId, order: RunOrder, now: Instant) {
--- a/crates/masticcross-jobs/src/scheduler/ends.rs
+++ b/crates/masticcross-jobs/src/scheduler/ends.rs
@@ -16,6 +16,9 @@
 /// Pause of a task whose earlier run still holds room at a worker.
 const ALREADY_RUNS: Duration = Duration::from_millis(200);
 
+/// Pause of a task of a late job after a refusal for lack of room.
+const CROWDED_PAUSE: Duration = Duration::from_millis(60);
+
 /// Failures that a run without progress counts for: enough to take the worker out.
 const STUCK_FAILURES: u32 = 3;
 
@@ -210,13 +213,25 @@
                     worker.health.pause(now);
                 }
             }
-            NotStartedReason::NoRoom
-            | NotStartedReason::OldEpoch
+            NotStartedReason::NoRoom => self.crowded_out(number, pos, now),
+            NotStartedReason::OldEpoch
             | NotStartedReason::Stopped
             | NotStartedReason::DeadlinePassed => {}
         }
     }
 
+    /// Lets a task of a late job wait before it asks for room again.
+    fn crowded_out(&mut self, number: JobNumber, pos: TaskPos, now: Instant) {
+        let Some(job) = self.jobs.get_mut(&number) else {
+            return;
+        };
+        if job.is_late(now)
+            && let Some(task) = job.task_mut(pos)
+        {
+            task.state = TaskState::Paused(now + CROWDED_PAUSE);
+        }
+    }
+
     /// Returns true if one more worker may be taken out. Half of them stay in whatever happens.
     fn may_take_out(&self) -> bool {
         let known = self.workers.values().filter(|w| w.info.is_some());
--- a/crates/masticcross-jobs/src/scheduler/mod.rs
+++ b/crates/masticcross-jobs/src/scheduler/mod.rs
@@ -64,8 +64,9 @@
     pub workers: usize,
 }
 
-/// Order of jobs that wait: the lowest first.
-type Rank = (bool, Instant, JobNumber);
+/// Order of jobs that wait, the lowest first: late ones last, then by urgency, then by the latest
+/// start at which they would be in time.
+type Rank = (bool, u32, Instant, JobNumber);
 
 /// The decisions of an entry.
 pub struct Scheduler {
@@ -315,11 +316,15 @@
         if !job.tasks().any(|(_, t)| t.state == TaskState::Waiting) {
             return;
         }
-        let rest = job.expected_rest();
-        let due = job.due();
-        let latest_start = due.checked_sub(rest).unwrap_or(now);
-        let late = latest_start < now && !job.may_have_run();
-        let rank = (late, latest_start, number);
+        let late = job.is_late(now);
+        let latest_start = job.latest_start().unwrap_or(now);
+        // A job that has begun goes first: its other tasks are of no use without these.
+        let urgency = if job.may_have_run() {
+            0
+        } else {
+            job.queue.priority.saturating_add(1)
+        };
+        let rank = (late, urgency, latest_start, number);
         self.waiting.insert(rank);
         self.ranks.insert(number, rank);
     }
@@ -352,7 +357,7 @@
         let late = self
             .ranks
             .get(&number)
-            .is_some_and(|(late, at, _)| !*late && *at < now);
+            .is_some_and(|(late, _, at, _)| !*late && *at < now);
         if !due.is_empty() || late {
             self.rank(number, now);
         }
--- a/crates/masticcross-jobs/src/scheduler/placement.rs
+++ b/crates/masticcross-jobs/src/scheduler/placement.rs
@@ -32,7 +32,7 @@
         let mut candidates = self.candidates(now);
         let mut orders: BTreeMap<Name, Vec<RunOrder>> = BTreeMap::new();
         let mut passed_over = 0;
-        let numbers: Vec<JobNumber> = self.waiting.iter().map(|rank| rank.2).collect();
+        let numbers: Vec<JobNumber> = self.waiting.iter().map(|rank| rank.3).collect();
         for number in numbers {
             if candidates.is_empty() || passed_over >= MAX_PASSED_OVER {
                 break;
@@ -62,13 +62,14 @@
         let Some(job) = self.jobs.get(&number) else {
             return true;
         };
+        let late = self.ranks.get(&number).is_some_and(|rank| rank.0);
         for pos in job.waiting() {
             let Some(chosen) = self.choose(number, pos, candidates) else {
                 return false;
             };
             let candidate = &mut candidates[chosen];
             let name = candidate.name.clone();
-            let Some(order) = self.send(number, pos, &name) else {
+            let Some(order) = self.send(number, pos, &name, late) else {
                 continue;
             };
             candidate.free = candidate.free.minus(order.room);
@@ -130,7 +131,13 @@
     }
 
     /// Marks a task as sent to a worker.
-    fn send(&mut self, number: JobNumber, pos: TaskPos, worker: &Name) -> Option<RunOrder> {
+    fn send(
+        &mut self,
+        number: JobNumber,
+        pos: TaskPos,
+        worker: &Name,
+        late: bool,
+    ) -> Option<RunOrder> {
         let job = self.jobs.get_mut(&number)?;
         let task = job.task_mut(pos)?;
         task.run += 1;
@@ -141,7 +148,7 @@
             id: job.run_id(pos, run),
             room: step.room,
             spec: job.request.spec.clone(),
-            expected_ms: step.expected_ms,
+            late,
         };
         self.workers.get_mut(worker)?.send(order.room);
         Some(order)
--- a/crates/masticcross-jobs/src/scheduler/table.rs
+++ b/crates/masticcross-jobs/src/scheduler/table.rs
@@ -186,6 +186,18 @@
         self.arrived + self.objective
     }
 
+    /// Returns the latest start of the tasks that wait at which the answer is in time.
+    #[must_use]
+    pub fn latest_start(&self) -> Option<Instant> {
+        self.due().checked_sub(self.expected_rest())
+    }
+
+    /// Returns true if the job has not begun and cannot be in time any more.
+    #[must_use]
+    pub fn is_late(&self, now: Instant) -> bool {
+        self.latest_start().is_none_or(|start| start < now) && !self.may_have_run()
+    }
+
     /// Returns until when an answer is of any use.
     #[must_use]
     pub fn useful_until(&self) -> Instant {
--- a/crates/masticcross-wire/src/pool.rs
+++ b/crates/masticcross-wire/src/pool.rs
@@ -95,8 +95,8 @@
     pub room: Room,
     /// What the task is to do.
     pub spec: Name,
-    /// Run time that the caller expects, in milliseconds.
-    pub expected_ms: u32,
+    /// True if the job will be late whatever happens. Such runs only use room that nobody else wants.
+    pub late: bool,
 }
 
 /// How a run ended.
