Keep each worker's last report in the store, so that a restarted agent need not wait for the next

Dials are given up after 150 ms. Jobs that have not begun are refused within 45% of the time in which their answer is of use. Ruled out: asking entries to remember, as they are killed too.

--- a/crates/masticcross-jobs/src/agent.rs
+++ b/crates/masticcross-jobs/src/agent.rs
@@ -17,6 +17,7 @@
 use crate::keeper::clients::ClientId;
 use crate::keeper::{Effect, Keeper, LOOK_WAIT, START_TIMEOUT, SessionId, WorkerReport};
 use crate::worker_client::{CallError, LookCall, StartCall, StopCall, WorkerClient};
+use crate::worker_memory::WorkerMemory;
 
 /// Interval of probes on a session.
 const PROBE_INTERVAL: Duration = Duration::from_millis(150);
@@ -26,11 +27,11 @@
 
 /// Longest wait for an entry's first frame. The opening packet to a machine that is down is sent
 /// again only after a second or more, so that a new dial finds a returned machine sooner.
-const HELLO_TIMEOUT: Duration = Duration::from_millis(250);
+const HELLO_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Pause after a failed dial; it doubles up to the greatest.
 const FIRST_REDIAL: Duration = Duration::from_millis(25);
-const MAX_REDIAL: Duration = Duration::from_millis(200);
+const MAX_REDIAL: Duration = Duration::from_millis(100);
 
 /// Time after which an address at which nothing was ever heard is not dialled any more.
 const FORGET_ADDR: Duration = Duration::from_secs(60);
@@ -71,6 +72,7 @@
     keeper: Mutex<Keeper>,
     outlets: Mutex<BTreeMap<SessionId, mpsc::Sender<Frame>>>,
     client: Arc<dyn WorkerClient>,
+    memory: Arc<dyn WorkerMemory>,
     dialer: Arc<dyn Dialer>,
     next_session: Mutex<SessionId>,
     entries_changed: Notify,
@@ -87,6 +89,7 @@
         lease: Duration,
         unix_ms: u64,
         client: Arc<dyn WorkerClient>,
+        memory: Arc<dyn WorkerMemory>,
         dialer: Arc<dyn Dialer>,
     ) -> Arc<Self> {
         Arc::new(Self {
@@ -94,6 +97,7 @@
             keeper: Mutex::new(Keeper::new(lease, unix_ms, Instant::now())),
             outlets: Mutex::default(),
             client,
+            memory,
             dialer,
             next_session: Mutex::new(0),
             entries_changed: Notify::new(),
@@ -105,6 +109,7 @@
     /// Serves until the process ends. `seeds` are addresses at which entries may listen.
     pub async fn run(self: Arc<Self>, seeds: Vec<SocketAddr>) {
         tokio::join!(
+            self.clone().recall_worker(),
             self.clone().keep_sessions(seeds),
             self.clone().keep_looking(),
             self.clone().keep_looking_twice(),
@@ -177,6 +182,10 @@
             Effect::Look => {
                 tokio::spawn(self.clone().look_once());
             }
+            Effect::Remember(report) => {
+                let memory = self.memory.clone();
+                tokio::spawn(async move { memory.remember(report).await });
+            }
         }
     }
 
@@ -206,6 +215,13 @@
         }
     }
 
+    async fn recall_worker(self: Arc<Self>) {
+        if let Some(report) = self.memory.recall().await {
+            self.with_keeper(|keeper, _| keeper.worker_recalled(report));
+            self.worker_changed.notify_one();
+        }
+    }
+
     async fn look_once(self: Arc<Self>) {
         let call = self.with_keeper(|keeper, now| keeper.next_look(0, Duration::ZERO, now));
         if let Some(call) = call {
--- a/crates/masticcross-jobs/src/keeper/mod.rs
+++ b/crates/masticcross-jobs/src/keeper/mod.rs
@@ -23,6 +23,7 @@
     EntryAddr, FreeRoom, OperatorView, PoolFrame, Resume, Room, RunEnd, RunId, RunOrder, RunResult,
     WorkerInfo,
 };
+use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
 use crate::worker_client::{StartCall, StopCall, WorkerLife};
@@ -48,7 +49,7 @@
 const WORKER_SILENCE: Duration = Duration::from_millis(700);
 
 /// What the worker says of itself in a heartbeat.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerReport {
     /// The worker's life.
     pub life: WorkerLife,
@@ -69,6 +70,8 @@
     Stop(StopCall),
     /// Look at the worker now, without waiting for an end.
     Look,
+    /// Keep what the worker says of itself for the next agent.
+    Remember(WorkerReport),
 }
 
 /// Figures for the metrics.
@@ -172,8 +175,11 @@
             }
             if worker.life == report.life {
                 worker.sequence = report.sequence;
-                worker.info = Some(report.info);
-                self.publish(now);
+                if worker.info.as_ref() != Some(&report.info) {
+                    worker.info = Some(report.info.clone());
+                    self.effects.push(Effect::Remember(report));
+                    self.publish(now);
+                }
                 return true;
             }
         }
@@ -184,15 +190,28 @@
         if !same_id {
             self.lose_all_runs(now);
         }
-        self.begin_life(report.life);
+        self.begin_life(report.life.clone());
         if let Some(worker) = &mut self.worker {
             worker.sequence = report.sequence;
-            worker.info = Some(report.info);
+            worker.info = Some(report.info.clone());
         }
+        self.effects.push(Effect::Remember(report));
         self.publish(now);
         true
     }
 
+    /// Takes over what an earlier agent kept of the worker, unless the worker has reported. The first
+    /// look tells whether it still lives that life.
+    pub fn worker_recalled(&mut self, report: WorkerReport) {
+        if self.worker.is_some() {
+            return;
+        }
+        self.begin_life(report.life);
+        if let Some(worker) = &mut self.worker {
+            worker.info = Some(report.info);
+        }
+    }
+
     /// Begins a life of the worker, of which nothing is known but that it runs. Orders meant for an
     /// earlier life under the same id may have reached this one: the first look tells.
     fn begin_life(&mut self, life: WorkerLife) {
--- a/crates/masticcross-jobs/src/lib.rs
+++ b/crates/masticcross-jobs/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod runtime;
 pub mod scheduler;
 pub mod worker_client;
+pub mod worker_memory;
 
 pub use agent::Agent;
 pub use entry::Entry;
--- a/crates/masticcross-jobs/src/scheduler/mod.rs
+++ b/crates/masticcross-jobs/src/scheduler/mod.rs
@@ -389,6 +389,15 @@
         } else {
             return;
         };
+        let open: u32 = self.workers.values().map(|worker| worker.places(now)).sum();
+        let free_cpu: u64 = self.workers.values().map(|worker| worker.free().cpu).sum();
+        log::info!(
+            job:% = job.request.id, waited_ms = now.saturating_duration_since(job.arrived).as_millis(),
+            objective_ms = job.objective.as_millis(), began = job.may_have_run(), late = job.is_late(now),
+            usable_workers = self.levels().workers, open_places = open, free_cpu,
+            jobs_waiting = self.waiting.len(), outcome:?;
+            "job given up"
+        );
         self.end_job(number, outcome);
     }
 
--- a/crates/masticcross-jobs/src/scheduler/table.rs
+++ b/crates/masticcross-jobs/src/scheduler/table.rs
@@ -18,8 +18,8 @@
 /// Times the objective up to which a job is late rather than lost (the platform's pages).
 const LATE_FACTOR: u32 = 3;
 
-/// Part of a caller's patience after which a job that has not begun is refused: half of it would
-/// make the refusal worthless to the caller.
+/// Part of the time in which an answer is of use after which a job that has not begun is refused, so
+/// that its caller has the other half for something else.
 const PATIENCE: f64 = 0.45;
 
 /// Where a task is.
@@ -218,14 +218,10 @@
     /// Returns when the job is given up if it has not begun.
     #[must_use]
     pub fn refuse_at(&self) -> Instant {
-        let patience = self
-            .request
-            .deadline
-            .saturating_duration_since(self.arrived);
-        let patient_until = self.arrived + patience.mul_f64(PATIENCE);
         let useful = self.useful_until();
-        let useful = useful.checked_sub(self.expected_rest()).unwrap_or(useful);
-        useful.min(patient_until)
+        let patience = useful.saturating_duration_since(self.arrived);
+        let latest_start = useful.checked_sub(self.expected_rest()).unwrap_or(useful);
+        latest_start.min(self.arrived + patience.mul_f64(PATIENCE))
     }
 
     fn unblock(&mut self) {
--- a/crates/masticcross-jobs/src/worker_client.rs
+++ b/crates/masticcross-jobs/src/worker_client.rs
@@ -3,10 +3,11 @@
 use futures_util::future::BoxFuture;
 use masticcross_basics::Name;
 use masticcross_wire::pool::{RunId, RunOrder};
+use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 /// One life of a worker. A worker that starts again has another one and knows nothing of before.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerLife {
     /// Id of the worker.
     pub id: Name,
--- /dev/null
+++ b/crates/masticcross-jobs/src/worker_memory.rs
@@ -0,0 +1,14 @@
+//! The edge towards what outlives an agent: the last report of its worker.
+
+use futures_util::future::BoxFuture;
+
+use crate::keeper::WorkerReport;
+
+/// Keeps the last report of a worker. An agent that starts anew need not wait for the next one.
+pub trait WorkerMemory: Send + Sync + 'static {
+    /// Returns the last report that was kept; none if there is none or it cannot be read now.
+    fn recall(&self) -> BoxFuture<'_, Option<WorkerReport>>;
+
+    /// Keeps a report. A failure is logged: the next agent then waits for a report.
+    fn remember(&self, report: WorkerReport) -> BoxFuture<'_, ()>;
+}
