Play seeded schedules over entries, agents and workers; mend a false "not run"

A worker that started anew under its id had seen no token, so that late orders for its former life counted. Change: the job remembers; a new life of a worker gets a higher token at once.

--- a/crates/masticcross-jobs/src/keeper/mod.rs
+++ b/crates/masticcross-jobs/src/keeper/mod.rs
@@ -222,6 +222,9 @@
             }
         }
         self.lease.forget_clock();
+        // A new life has seen no token: orders to the former one that are still on their way must not
+        // be carried out.
+        self.lease.raise_token();
         self.worker = Some(Worker {
             life,
             info: None,
--- a/crates/masticcross-jobs/src/scheduler/mod.rs
+++ b/crates/masticcross-jobs/src/scheduler/mod.rs
@@ -345,6 +345,7 @@
             };
             if let TaskState::Unreachable(worker, _) = &task.state {
                 let worker = worker.clone();
+                job.ran = true;
                 log::info!(job:% = job.request.id, worker:%; "run is lost with its agent");
                 self.workers.entry(worker).and_modify(|w| {
                     w.running = w.running.saturating_sub(1);
@@ -389,7 +390,8 @@
         } else {
             return;
         };
-        let open: u32 = self.workers.values().map(|worker| worker.places(now)).sum();
+        let places = |worker: &Worker| u64::from(worker.places(now));
+        let open: u64 = self.workers.values().map(places).sum();
         let free_cpu: u64 = self.workers.values().map(|worker| worker.free().cpu).sum();
         log::info!(
             job:% = job.request.id, waited_ms = now.saturating_duration_since(job.arrived).as_millis(),
--- a/crates/masticcross-jobs/src/scheduler/table.rs
+++ b/crates/masticcross-jobs/src/scheduler/table.rs
@@ -63,7 +63,7 @@
     pub arrived: Instant,
     /// Time within which the caller wants the answer.
     pub objective: Duration,
-    /// True once a run that had started has ended.
+    /// True once a run has ended that may have started.
     pub ran: bool,
     tasks: Vec<Vec<Task>>,
     open: usize,
--- a/crates/masticcross-jobs/src/scheduler/tests.rs
+++ b/crates/masticcross-jobs/src/scheduler/tests.rs
@@ -1,1 +1,550 @@
+//! Tests of an entry's decisions.
 
+use std::time::Duration;
+
+use masticcross_basics::{Code, Name};
+use masticcross_wire::NotStartedReason;
+use masticcross_wire::pool::{
+    FreeRoom, OperatorView, PoolFrame, Queue, Resume, Room, RunEnd, RunId, RunOrder, RunResult,
+    WorkerInfo,
+};
+use smallvec::{SmallVec, smallvec};
+use tokio::time::Instant;
+
+use super::table::JobNumber;
+use super::{Effect, LOST_CONTACT, Scheduler, SessionId};
+use crate::job::{JobOutcome, JobRequest, StepRequest};
+
+/// Names each test case.
+macro_rules! cases {
+    ($($name:ident => $body:expr;)*) => {
+        $(#[test] fn $name() { $body(Bench::new()) })*
+    };
+}
+
+const PATIENCE: Duration = Duration::from_secs(5);
+const SECOND: Duration = Duration::from_secs(1);
+
+/// An entry, workers that are told by their sessions, and a clock.
+struct Bench {
+    scheduler: Scheduler,
+    now: Instant,
+    sent: Vec<(SessionId, RunOrder)>,
+    stopped: Vec<RunId>,
+    answers: Vec<(JobNumber, JobOutcome)>,
+}
+
+impl Bench {
+    fn new() -> Self {
+        let mut bench = Self {
+            scheduler: Scheduler::new("zone-a".into()),
+            now: Instant::now(),
+            sent: Vec::new(),
+            stopped: Vec::new(),
+            answers: Vec::new(),
+        };
+        bench.view(1, &[]);
+        bench
+    }
+
+    /// An entry whose worker has been in contact long enough to get many runs at once.
+    fn with_worker(cores: u64) -> Self {
+        let mut bench = Self::new();
+        bench.connect(1, 1, worker("zone-a", cores));
+        bench.pass(SECOND * 4);
+        bench
+    }
+
+    fn step<T>(&mut self, f: impl FnOnce(&mut Scheduler, Instant) -> T) -> T {
+        let result = f(&mut self.scheduler, self.now);
+        for effect in self.scheduler.take_effects() {
+            match effect {
+                Effect::Send(session, PoolFrame::Run(orders)) => {
+                    self.sent.extend(orders.into_iter().map(|order| (session, order)));
+                }
+                Effect::Send(_, PoolFrame::Stop(ids)) => self.stopped.extend(ids),
+                Effect::Send(..) => {}
+                Effect::Answer(number, outcome) => self.answers.push((number, outcome)),
+            }
+        }
+        result
+    }
+
+    fn pass(&mut self, time: Duration) {
+        self.now += time;
+        self.step(Scheduler::tick);
+    }
+
+    fn view(&mut self, position: u64, zones_out: &[&str]) {
+        let view = OperatorView {
+            position,
+            config_version: position,
+            queues: vec![queue("urgent", 0), queue("usual", 1)],
+            zones_out: zones_out.iter().map(|zone| Name::from(*zone)).collect(),
+            ..OperatorView::default()
+        };
+        self.step(|s, _| s.view_offered(view));
+    }
+
+    /// Opens the session of an agent, whose number is also the worker's.
+    fn connect(&mut self, session: SessionId, incarnation: u64, info: WorkerInfo) {
+        let name = name(session);
+        let free = FreeRoom {
+            room: info.capacity,
+            orders_seen: 0,
+        };
+        self.step(|s, now| s.session_opened(&name, incarnation, session, now));
+        self.step(|s, now| s.worker_changed(&name, session, Some(info), now));
+        self.step(|s, now| s.freed(&name, session, free, now));
+    }
+
+    fn disconnect(&mut self, session: SessionId) {
+        self.step(|s, now| s.session_closed(&name(session), session, now));
+    }
+
+    fn submit(&mut self, request: JobRequest) -> JobNumber {
+        self.step(|s, now| s.submit(request, now)).expect("accepted")
+    }
+
+    fn job(&self, id: &str, steps: SmallVec<[StepRequest; 1]>) -> JobRequest {
+        JobRequest {
+            id: id.into(),
+            queue: "usual".into(),
+            spec: "x".into(),
+            steps,
+            deadline: self.now + PATIENCE,
+        }
+    }
+
+    fn end(&mut self, session: SessionId, id: &RunId, result: RunResult) {
+        let end = RunEnd {
+            id: id.clone(),
+            result,
+            took_ms: 100,
+        };
+        self.step(|s, now| s.ended(&name(session), session, &[end], now));
+    }
+
+    fn free(&mut self, session: SessionId, cores: u64, orders_seen: u64) {
+        let free = FreeRoom {
+            room: room(cores),
+            orders_seen,
+        };
+        self.step(|s, now| s.freed(&name(session), session, free, now));
+    }
+
+    /// Ends all runs sent so far with a result.
+    fn end_all(&mut self, result: RunResult) {
+        for (session, order) in std::mem::take(&mut self.sent) {
+            self.end(session, &order.id, result);
+        }
+    }
+
+    fn resume(&mut self, session: SessionId, running: Vec<RunId>, complete: bool) {
+        let resume = Resume {
+            entry: 1,
+            running,
+            ended: vec![],
+            complete,
+        };
+        self.step(|s, now| s.resumed(&name(session), session, &resume, now));
+    }
+
+    fn outcomes(&self) -> Vec<JobOutcome> {
+        self.answers.iter().map(|(_, outcome)| outcome.clone()).collect()
+    }
+
+    fn refusal(&self) -> (Code, bool) {
+        match self.outcomes().first() {
+            Some(JobOutcome::Refused(refusal)) => (refusal.code, refusal.not_run),
+            other => panic!("no refusal but {other:?}"),
+        }
+    }
+}
+
+fn name(session: SessionId) -> Name {
+    format!("worker-{session}").into()
+}
+
+fn queue(name: &str, priority: u32) -> Queue {
+    Queue {
+        name: name.into(),
+        host: "host".into(),
+        path_prefix: "/".into(),
+        service: "quotes".into(),
+        priority,
+        max_attempts: 2,
+        stretch: 1.5,
+        latency_target_ms: 50,
+    }
+}
+
+fn worker(zone: &str, cores: u64) -> WorkerInfo {
+    WorkerInfo {
+        service: "quotes".into(),
+        zone: zone.into(),
+        labels: smallvec!["rack-1".into()],
+        capacity: room(cores),
+        leaving: false,
+    }
+}
+
+fn room(cores: u64) -> Room {
+    Room {
+        cpu: cores * 1_000,
+        memory_mb: cores,
+        gpus: 0,
+    }
+}
+
+fn tasks(count: u16, cores: u64) -> StepRequest {
+    StepRequest {
+        count,
+        room: room(cores),
+        expected_ms: 100,
+        ..StepRequest::default()
+    }
+}
+
+cases! {
+    a_job_is_complete_when_all_tasks_are_done => |_| {
+        let mut b = Bench::with_worker(8);
+        b.submit(b.job("a", smallvec![tasks(2, 2)]));
+        let runs = b.sent.clone();
+        assert_eq!(runs.len(), 2);
+        b.end(1, &runs[0].1.id, RunResult::Done);
+        assert_eq!(b.outcomes(), vec![]);
+        b.end(1, &runs[1].1.id, RunResult::Done);
+        assert_eq!(b.outcomes(), vec![JobOutcome::Completed]);
+    };
+
+    a_job_sent_again_joins_the_first => |_| {
+        let mut b = Bench::with_worker(8);
+        let first = b.submit(b.job("a", smallvec![tasks(2, 2)]));
+        let second = b.submit(b.job("a", smallvec![tasks(2, 2)]));
+        assert_eq!((first, b.sent.len()), (second, 2));
+    };
+
+    without_a_configuration_jobs_are_refused_as_not_run => |_| {
+        let mut scheduler = Scheduler::new("zone-a".into());
+        let b = Bench::new();
+        let refusal = scheduler.submit(b.job("a", smallvec![tasks(1, 1)]), b.now);
+        let refusal = refusal.expect_err("nothing is known");
+        assert_eq!((refusal.code, refusal.not_run), (Code::ViewStale, true));
+        assert!(refusal.retry_after_ms.is_some());
+    };
+
+    a_step_waits_for_the_steps_before_it => |_| {
+        let mut b = Bench::with_worker(8);
+        let second = StepRequest { after: smallvec![0], ..tasks(1, 2) };
+        b.submit(b.job("a", smallvec![tasks(2, 2), second]));
+        assert!(b.sent.iter().all(|(_, order)| order.id.task.step == 0));
+        let first = b.sent[0].1.id.clone();
+        b.end(1, &first, RunResult::Done);
+        assert_eq!(b.sent.len(), 2);
+        let other = b.sent[1].1.id.clone();
+        b.end(1, &other, RunResult::Done);
+        assert_eq!(b.sent[2].1.id.task.step, 1);
+    };
+
+    a_step_may_not_wait_for_a_later_one => |mut b: Bench| {
+        let step = StepRequest { after: smallvec![0], ..tasks(1, 1) };
+        let request = b.job("a", smallvec![step]);
+        let refusal = b.step(|s, now| s.submit(request, now)).expect_err("refers to itself");
+        assert_eq!((refusal.code, refusal.not_run), (Code::InvalidField, true));
+    };
+
+    runs_not_yet_seen_by_the_agent_take_room => |_| {
+        let mut b = Bench::with_worker(4);
+        b.submit(b.job("a", smallvec![tasks(2, 2)]));
+        b.free(1, 4, 0);
+        b.submit(b.job("b", smallvec![tasks(1, 2)]));
+        assert_eq!(b.sent.len(), 2);
+        b.free(1, 2, 1);
+        assert_eq!(b.sent.len(), 2, "one run is still on its way");
+        b.free(1, 2, 2);
+        assert_eq!(b.sent.len(), 3);
+    };
+
+    a_job_without_room_is_refused_early_as_not_run => |_| {
+        let mut b = Bench::with_worker(1);
+        b.submit(b.job("a", smallvec![tasks(1, 2)]));
+        b.pass(Duration::from_millis(250));
+        assert_eq!(b.outcomes(), vec![]);
+        b.pass(Duration::from_millis(50));
+        assert_eq!(b.refusal(), (Code::Overloaded, true));
+    };
+
+    without_contact_to_a_worker_callers_are_sent_elsewhere => |mut b: Bench| {
+        b.submit(b.job("a", smallvec![tasks(1, 2)]));
+        b.pass(SECOND);
+        assert_eq!(b.refusal(), (Code::NoBackend, true));
+    };
+
+    a_job_that_may_have_run_is_never_said_not_to_have_run => |_| {
+        let mut b = Bench::with_worker(8);
+        b.submit(b.job("a", smallvec![tasks(1, 2)]));
+        b.disconnect(1);
+        b.pass(Duration::from_millis(20));
+        assert_eq!(b.refusal(), (Code::WorkerLost, false));
+    };
+
+    a_job_whose_runs_never_started_is_refused_as_not_run => |_| {
+        let mut b = Bench::with_worker(8);
+        b.submit(b.job("a", smallvec![tasks(1, 2)]));
+        for _ in 0..40 {
+            b.end_all(RunResult::NotStarted(NotStartedReason::NoRoom));
+            b.pass(Duration::from_millis(20));
+        }
+        assert_eq!(b.refusal(), (Code::Overloaded, true));
+    };
+
+    a_task_out_of_reach_is_not_run_again_before_its_run_is_gone => |_| {
+        let mut b = Bench::with_worker(8);
+        b.connect(2, 1, worker("zone-b", 8));
+        b.pass(SECOND * 4);
+        let long = StepRequest { expected_ms: 2_000, ..tasks(1, 2) };
+        b.submit(b.job("a", smallvec![long]));
+        assert_eq!(b.sent[0].0, 1);
+        b.disconnect(1);
+        b.pass(LOST_CONTACT.checked_sub(Duration::from_millis(20)).expect("longer"));
+        assert_eq!(b.sent.len(), 1);
+        b.pass(Duration::from_millis(20));
+        assert_eq!((b.sent.len(), b.sent[1].0, b.sent[1].1.id.run), (2, 2, 2));
+    };
+
+    a_session_that_opens_again_confirms_its_runs => |_| {
+        let mut b = Bench::with_worker(8);
+        b.submit(b.job("a", smallvec![tasks(2, 2)]));
+        let held = b.sent[0].1.id.clone();
+        b.disconnect(1);
+        b.step(|s, now| s.session_opened(&name(1), 1, 2, now));
+        let resume = Resume { entry: 1, running: vec![held.clone()], ended: vec![], complete: true };
+        b.step(|s, now| s.resumed(&name(1), 2, &resume, now));
+        b.step(|s, now| s.worker_changed(&name(1), 2, Some(worker("zone-a", 8)), now));
+        let free = FreeRoom { room: room(6), orders_seen: 0 };
+        b.step(|s, now| s.freed(&name(1), 2, free, now));
+        let again: Vec<RunId> = b.sent[2..].iter().map(|(_, order)| order.id.clone()).collect();
+        assert_eq!(again.len(), 1, "the run that did not arrive is sent again");
+        assert!(again[0].task != held.task);
+    };
+
+    a_new_agent_that_does_not_know_all_runs_proves_nothing => |_| {
+        let mut b = Bench::with_worker(8);
+        let long = StepRequest { expected_ms: 2_000, ..tasks(1, 2) };
+        b.submit(b.job("a", smallvec![long]));
+        b.disconnect(1);
+        b.connect(2, 1, worker("zone-b", 8));
+        b.step(|s, now| s.session_opened(&name(1), 9, 1, now));
+        b.resume(1, vec![], false);
+        b.pass(SECOND);
+        assert_eq!(b.sent.len(), 1);
+        b.step(|s, now| s.worker_changed(&name(1), 1, Some(worker("zone-a", 8)), now));
+        assert_eq!(b.sent.len(), 2, "a usable worker has been cleared");
+    };
+
+    a_job_fails_after_the_attempts_of_its_queue => |_| {
+        let mut b = Bench::with_worker(8);
+        b.submit(b.job("a", smallvec![tasks(1, 2)]));
+        b.end_all(RunResult::Failed);
+        assert_eq!(b.outcomes(), vec![]);
+        b.free(1, 8, 9);
+        b.end_all(RunResult::Failed);
+        assert_eq!(b.outcomes(), vec![JobOutcome::Failed]);
+    };
+
+    a_lost_run_does_not_count_as_an_attempt => |_| {
+        let mut b = Bench::with_worker(8);
+        b.submit(b.job("a", smallvec![tasks(1, 2)]));
+        for seen in 1..5 {
+            b.end_all(RunResult::Lost);
+            b.free(1, 8, seen);
+        }
+        assert_eq!((b.outcomes(), b.sent.len()), (vec![], 1));
+    };
+
+    the_next_attempt_goes_to_another_worker => |_| {
+        let mut b = Bench::with_worker(8);
+        b.connect(2, 1, worker("zone-b", 8));
+        b.submit(b.job("a", smallvec![tasks(1, 2)]));
+        assert_eq!(b.sent[0].0, 1, "the near one comes first");
+        b.end_all(RunResult::Failed);
+        assert_eq!(b.sent[0].0, 2);
+    };
+
+    a_job_that_fails_everywhere_takes_out_no_worker => |_| {
+        let mut b = Bench::with_worker(8);
+        b.connect(2, 1, worker("zone-b", 8));
+        b.pass(SECOND * 4);
+        for number in 0..10 {
+            b.submit(b.job(&format!("bad-{number}"), smallvec![tasks(1, 1)]));
+            b.end_all(RunResult::Failed);
+            b.end_all(RunResult::Failed);
+            b.free(1, 8, 100);
+            b.free(2, 8, 100);
+        }
+        b.submit(b.job("good", smallvec![tasks(12, 1)]));
+        assert_eq!(b.sent.len(), 12);
+    };
+
+    a_worker_that_fails_every_task_is_taken_out => |_| {
+        let mut b = Bench::with_worker(64);
+        b.connect(2, 1, worker("zone-b", 64));
+        b.connect(3, 1, worker("zone-b", 64));
+        b.pass(SECOND * 4);
+        let mut failed = 0;
+        for number in 0..20 {
+            b.submit(b.job(&format!("job-{number}"), smallvec![tasks(1, 1)]));
+            for _ in 0..2 {
+                for (session, order) in std::mem::take(&mut b.sent) {
+                    failed += u32::from(session == 1);
+                    let result = if session == 1 { RunResult::Failed } else { RunResult::Done };
+                    b.end(session, &order.id, result);
+                    b.free(session, 64, 1_000);
+                }
+            }
+        }
+        assert!(failed <= 4, "{failed} runs failed at the bad worker");
+    };
+
+    unanswered_orders_leave_a_worker_in_use => |_| {
+        let mut b = Bench::with_worker(64);
+        b.connect(2, 1, worker("zone-b", 64));
+        b.pass(SECOND * 4);
+        b.submit(b.job("a", smallvec![tasks(1, 1)]));
+        b.end_all(RunResult::NotStarted(NotStartedReason::ConnectFailed));
+        b.end_all(RunResult::Done);
+        b.free(1, 64, 100);
+        b.submit(b.job("b", smallvec![tasks(8, 1)]));
+        assert!(b.sent.iter().filter(|(session, _)| *session == 1).count() >= 4);
+    };
+
+    nothing_is_placed_in_a_zone_that_is_out => |_| {
+        let mut b = Bench::with_worker(8);
+        b.view(2, &["zone-a"]);
+        b.submit(b.job("a", smallvec![tasks(1, 2)]));
+        assert_eq!(b.sent.len(), 0);
+        b.view(3, &[]);
+        b.pass(Duration::from_millis(20));
+        assert_eq!(b.sent.len(), 1);
+    };
+
+    an_older_view_changes_nothing => |_| {
+        let mut b = Bench::with_worker(8);
+        b.view(3, &["zone-a"]);
+        b.view(2, &[]);
+        b.submit(b.job("a", smallvec![tasks(1, 2)]));
+        assert_eq!(b.sent.len(), 0);
+    };
+
+    a_worker_that_leaves_gets_nothing => |_| {
+        let mut b = Bench::with_worker(8);
+        let leaving = WorkerInfo { leaving: true, ..worker("zone-a", 8) };
+        b.step(|s, now| s.worker_changed(&name(1), 1, Some(leaving), now));
+        b.submit(b.job("a", smallvec![tasks(1, 2)]));
+        assert_eq!(b.sent.len(), 0);
+    };
+
+    a_worker_of_another_service_gets_nothing => |mut b: Bench| {
+        let other = WorkerInfo { service: "menus".into(), ..worker("zone-a", 8) };
+        b.connect(1, 1, other);
+        b.submit(b.job("a", smallvec![tasks(1, 2)]));
+        assert_eq!(b.sent.len(), 0);
+    };
+
+    a_required_label_is_kept => |_| {
+        let mut b = Bench::with_worker(8);
+        let labelled = StepRequest { label: Some("rack-2".into()), ..tasks(1, 2) };
+        b.submit(b.job("a", smallvec![labelled]));
+        assert_eq!(b.sent.len(), 0);
+        let info = WorkerInfo { labels: smallvec!["rack-2".into()], ..worker("zone-b", 8) };
+        b.connect(2, 1, info);
+        assert_eq!(b.sent.iter().map(|(s, _)| *s).collect::<Vec<_>>(), vec![2]);
+    };
+
+    no_worker_gets_more_tasks_of_a_step_than_allowed => |_| {
+        let mut b = Bench::with_worker(8);
+        let spread = StepRequest { max_per_worker: Some(1), ..tasks(3, 1) };
+        b.submit(b.job("a", smallvec![spread]));
+        assert_eq!(b.sent.len(), 1);
+        b.connect(2, 1, worker("zone-b", 8));
+        assert_eq!(b.sent.len(), 2);
+    };
+
+    tasks_go_near_their_data => |_| {
+        let mut b = Bench::with_worker(8);
+        let near = WorkerInfo { labels: smallvec!["rack-2".into()], ..worker("zone-b", 8) };
+        b.connect(2, 1, near);
+        let step = StepRequest { data_label: Some("rack-2".into()), ..tasks(1, 1) };
+        b.submit(b.job("a", smallvec![step]));
+        assert_eq!(b.sent[0].0, 2);
+    };
+
+    a_cancelled_job_is_stopped => |_| {
+        let mut b = Bench::with_worker(8);
+        let number = b.submit(b.job("a", smallvec![tasks(2, 2)]));
+        b.step(|s, _| s.cancel(number));
+        let sent: Vec<RunId> = b.sent.iter().map(|(_, order)| order.id.clone()).collect();
+        assert_eq!(b.stopped, sent);
+        b.end_all(RunResult::Stopped);
+        assert_eq!((b.sent.len(), b.outcomes()), (0, vec![]));
+    };
+
+    a_job_is_stopped_when_its_callers_time_has_passed => |_| {
+        let mut b = Bench::with_worker(8);
+        b.submit(b.job("a", smallvec![tasks(1, 2)]));
+        b.pass(PATIENCE);
+        assert_eq!((b.refusal(), b.stopped.len()), ((Code::DeadlineExceeded, false), 1));
+    };
+
+    urgent_jobs_go_first_and_begun_ones_before_all => |_| {
+        let mut b = Bench::with_worker(2);
+        b.submit(b.job("begun", smallvec![tasks(2, 2)]));
+        b.submit(b.job("usual", smallvec![tasks(1, 2)]));
+        let mut urgent = b.job("urgent", smallvec![tasks(1, 2)]);
+        urgent.queue = "urgent".into();
+        b.submit(urgent);
+        for seen in 1..4 {
+            let (session, order) = b.sent.last().cloned().expect("one is sent");
+            b.end(session, &order.id, RunResult::Done);
+            b.free(1, 2, seen);
+        }
+        let jobs: Vec<&str> = b.sent.iter().map(|(_, o)| &*o.id.task.job).collect();
+        assert_eq!(jobs, vec!["begun", "begun", "urgent", "usual"]);
+    };
+
+    late_jobs_go_last_and_are_marked => |_| {
+        let mut b = Bench::with_worker(2);
+        b.submit(b.job("holder", smallvec![tasks(1, 2)]));
+        b.submit(b.job("late", smallvec![tasks(1, 2)]));
+        b.pass(Duration::from_millis(150));
+        b.submit(b.job("fresh", smallvec![tasks(1, 2)]));
+        for seen in 1..3 {
+            let (session, order) = b.sent.last().cloned().expect("one is sent");
+            b.end(session, &order.id, RunResult::Done);
+            b.free(1, 2, seen);
+        }
+        let sent: Vec<(&str, bool)> = b.sent.iter().map(|(_, o)| (&*o.id.task.job, o.late)).collect();
+        assert_eq!(sent, vec![("holder", false), ("fresh", false), ("late", true)]);
+    };
+
+    a_stuck_worker_is_taken_out_at_once => |_| {
+        let mut b = Bench::with_worker(64);
+        b.connect(2, 1, worker("zone-b", 64));
+        b.pass(SECOND * 4);
+        b.submit(b.job("a", smallvec![tasks(1, 1)]));
+        b.end_all(RunResult::Stuck);
+        b.sent.clear();
+        b.submit(b.job("b", smallvec![tasks(4, 1)]));
+        assert!(b.sent.iter().all(|(session, _)| *session == 2));
+    };
+
+    ends_of_earlier_runs_change_nothing => |_| {
+        let mut b = Bench::with_worker(8);
+        b.submit(b.job("a", smallvec![tasks(1, 2)]));
+        let first = b.sent[0].1.id.clone();
+        b.end(1, &first, RunResult::Lost);
+        b.end(1, &first, RunResult::Done);
+        assert_eq!(b.outcomes(), vec![]);
+    };
+}
--- /dev/null
+++ b/crates/masticcross-jobs/tests/schedule/world.rs
@@ -0,0 +1,742 @@
+//! Entries, agents and workers in one schedule of events: messages take time, and faults come at
+//! random. All randomness comes from the seed.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::time::Duration;
+
+use masticcross_basics::Name;
+use masticcross_jobs::keeper::clients::ClientId;
+use masticcross_jobs::keeper::{self, Keeper, WorkerReport};
+use masticcross_jobs::scheduler::table::JobNumber;
+use masticcross_jobs::scheduler::{self, Scheduler};
+use masticcross_jobs::worker_client::{CallError, LookCall, StartCall, StopCall, WorkerLife};
+use masticcross_jobs::{JobOutcome, JobRequest, StepRequest};
+use masticcross_wire::pool::{OperatorView, PoolFrame, Queue, Room, TaskId, WorkerInfo};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use smallvec::smallvec;
+use tokio::time::Instant;
+
+use super::worker::Worker;
+
+/// Time after which a caller submits a job again, as the users' pages say, in milliseconds.
+const RESEND: u64 = 1_300;
+
+/// Silence after which either side closes a session, in milliseconds.
+const SILENCE: u64 = 600;
+
+/// When a look is repeated, and when it is given up, in milliseconds.
+const LOOK_EVERY: u64 = 20;
+
+/// End of the faults and of the submissions, and of the schedule, in milliseconds.
+const FAULTS_UNTIL: u64 = 12_000;
+const END: u64 = 24_000;
+
+/// How often each kind of fault comes in a schedule.
+#[derive(Debug, Clone, Copy)]
+pub struct Faults {
+    pub sessions: u32,
+    pub calls: f64,
+    pub restarts: u32,
+}
+
+struct Session {
+    number: u64,
+    /// Time until which frames are held up.
+    silent_until: u64,
+    agent_open: bool,
+    entry_open: bool,
+    last_to_agent: u64,
+    last_to_entry: u64,
+}
+
+struct EntryState {
+    scheduler: Scheduler,
+    incarnation: u64,
+    jobs: BTreeMap<JobNumber, Name>,
+}
+
+struct AgentState {
+    keeper: Keeper,
+    incarnation: u64,
+    missed: u32,
+    frozen_until: u64,
+}
+
+#[derive(Clone)]
+enum Event {
+    Tick,
+    Probe(usize),
+    Look(usize, u64),
+    Report(usize),
+    Open(usize, usize),
+    AgentSilent(usize, usize, u64),
+    EntrySilent(usize, usize, u64),
+    ToAgent(usize, usize, u64, PoolFrame),
+    ToEntry(usize, usize, u64, PoolFrame),
+    Start(usize, u64, StartCall, bool),
+    Stop(usize, StopCall),
+    Started(usize, u64, StartCall, Option<u64>),
+    Submit(Name),
+    Fault,
+}
+
+struct Entry(u64, u64, Event);
+
+impl PartialEq for Entry {
+    fn eq(&self, other: &Self) -> bool {
+        (self.0, self.1) == (other.0, other.1)
+    }
+}
+impl Eq for Entry {}
+impl PartialOrd for Entry {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Entry {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.0, self.1).cmp(&(other.0, other.1))
+    }
+}
+
+/// What callers and workers saw.
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+pub struct Seen {
+    pub submitted: usize,
+    pub completed: usize,
+    pub refused: usize,
+    pub starts: usize,
+    pub lost_calls: usize,
+}
+
+/// One schedule.
+pub struct World {
+    rng: SmallRng,
+    base: Instant,
+    now: u64,
+    next: u64,
+    events: BinaryHeap<Reverse<Entry>>,
+    faults: Faults,
+    entries: Vec<EntryState>,
+    agents: Vec<AgentState>,
+    workers: Vec<Worker>,
+    sessions: BTreeMap<(usize, usize), Session>,
+    next_session: u64,
+    started: BTreeSet<Name>,
+    may_run: BTreeSet<Name>,
+    open: BTreeMap<Name, JobRequest>,
+    seen: Seen,
+}
+
+impl World {
+    pub fn new(seed: u64, faults: Faults) -> Self {
+        let mut world = Self {
+            rng: SmallRng::seed_from_u64(seed),
+            base: Instant::now(),
+            now: 100,
+            next: 0,
+            events: BinaryHeap::new(),
+            faults,
+            entries: Vec::new(),
+            agents: Vec::new(),
+            workers: Vec::new(),
+            sessions: BTreeMap::new(),
+            next_session: 0,
+            started: BTreeSet::new(),
+            may_run: BTreeSet::new(),
+            open: BTreeMap::new(),
+            seen: Seen::default(),
+        };
+        for entry in 0..2 {
+            world.entries.push(new_entry(1 + entry));
+        }
+        for agent in 0..3 {
+            world.workers.push(Worker::new(cores(8), 50));
+            let state = world.new_agent(1);
+            world.agents.push(state);
+            world.after(5, Event::Report(agent));
+            world.after(6, Event::Look(agent, 1));
+            world.after(7, Event::Probe(agent));
+            for entry in 0..2 {
+                world.after(10, Event::Open(agent, entry));
+            }
+        }
+        world.after(1, Event::Tick);
+        for job in 0..120 {
+            let at = world.rng.random_range(500..FAULTS_UNTIL);
+            world.after(at, Event::Submit(format!("job-{job}").into()));
+        }
+        for _ in 0..faults.sessions + faults.restarts {
+            let at = world.rng.random_range(1_000..FAULTS_UNTIL);
+            world.after(at, Event::Fault);
+        }
+        world
+    }
+
+    /// Plays the schedule. Panics if a promise is broken.
+    pub fn play(mut self) -> Seen {
+        while let Some(Reverse(Entry(at, _, event))) = self.events.pop() {
+            if at > END {
+                break;
+            }
+            self.now = at;
+            self.handle(event);
+            self.check_single_runs();
+        }
+        assert!(self.open.is_empty(), "without an answer: {:?}", self.open.keys());
+        self.seen
+    }
+
+    fn at(&self) -> Instant {
+        self.base + Duration::from_millis(self.now)
+    }
+
+    fn after(&mut self, delay: u64, event: Event) {
+        self.next += 1;
+        self.events.push(Reverse(Entry(self.now + delay, self.next, event)));
+    }
+
+    fn calm(&self) -> bool {
+        self.now > FAULTS_UNTIL
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Tick => self.tick(),
+            Event::Probe(agent) => self.probe(agent),
+            Event::Look(agent, incarnation) => self.look(agent, incarnation),
+            Event::Report(agent) => self.report(agent),
+            Event::Open(agent, entry) => self.open_session(agent, entry),
+            Event::AgentSilent(agent, entry, number) => self.close_at_agent(agent, entry, number),
+            Event::EntrySilent(agent, entry, number) => self.close_at_entry(agent, entry, number),
+            Event::ToAgent(agent, entry, number, frame) => self.to_agent(agent, entry, number, frame),
+            Event::ToEntry(agent, entry, number, frame) => self.to_entry(agent, entry, number, frame),
+            Event::Start(agent, incarnation, call, answered) => {
+                self.start(agent, incarnation, call, answered);
+            }
+            Event::Stop(agent, call) => {
+                let now = self.now;
+                // A stop that is refused is sent again by the agent's next tick.
+                let _ = self.workers[agent].stop(&call, now);
+            }
+            Event::Started(agent, incarnation, call, clock) => {
+                self.started(agent, incarnation, &call, clock);
+            }
+            Event::Submit(job) => self.submit(job),
+            Event::Fault => self.fault(),
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.at();
+        for agent in 0..self.agents.len() {
+            if self.agents[agent].frozen_until <= self.now {
+                self.agents[agent].keeper.tick(now);
+                self.carry_out_agent(agent);
+            }
+        }
+        for entry in 0..self.entries.len() {
+            self.entries[entry].scheduler.tick(now);
+            self.carry_out_entry(entry);
+        }
+        self.after(20, Event::Tick);
+    }
+
+    fn probe(&mut self, agent: usize) {
+        if self.agents[agent].frozen_until <= self.now {
+            let probe = self.agents[agent].keeper.probe(self.at());
+            for entry in 0..self.entries.len() {
+                self.send_to_entry(agent, entry, PoolFrame::Probe(probe));
+            }
+        }
+        self.after(150, Event::Probe(agent));
+    }
+
+    fn report(&mut self, agent: usize) {
+        let born_ms = self.workers[agent].born;
+        let report = WorkerReport {
+            life: WorkerLife {
+                id: "worker".into(),
+                born_ms,
+            },
+            sequence: self.now,
+            info: WorkerInfo {
+                service: "quotes".into(),
+                zone: "zone".into(),
+                labels: smallvec![],
+                capacity: self.workers[agent].capacity,
+                leaving: false,
+            },
+        };
+        if self.agents[agent].frozen_until <= self.now {
+            let now = self.at();
+            self.agents[agent].keeper.worker_reported(report, now);
+            self.carry_out_agent(agent);
+        }
+        self.after(500, Event::Report(agent));
+    }
+
+    fn look(&mut self, agent: usize, incarnation: u64) {
+        if self.agents[agent].incarnation != incarnation {
+            return;
+        }
+        self.after(LOOK_EVERY, Event::Look(agent, incarnation));
+        if self.agents[agent].frozen_until > self.now {
+            return;
+        }
+        let (now, missed) = (self.at(), self.agents[agent].missed);
+        let state = &mut self.agents[agent];
+        state.keeper.tick(now);
+        if let Some(call) = state.keeper.next_look(missed, Duration::ZERO, now) {
+            self.look_at_worker(agent, &call);
+        }
+        self.carry_out_agent(agent);
+    }
+
+    fn look_at_worker(&mut self, agent: usize, call: &LookCall) {
+        let lists = self.workers[agent].look(call, self.now);
+        let lost = self.lose_call();
+        let state = &mut self.agents[agent];
+        state.missed = if lost { state.missed + 1 } else { 0 };
+        let answer = if lost { Err(no_answer()) } else { lists };
+        let now = self.base + Duration::from_millis(self.now);
+        state.keeper.looked(call, answer, now);
+    }
+
+    fn lose_call(&mut self) -> bool {
+        let lost = !self.calm() && self.rng.random_bool(self.faults.calls);
+        self.seen.lost_calls += usize::from(lost);
+        lost
+    }
+
+    /// Opens a session, unless the path is silent or one is open.
+    fn open_session(&mut self, agent: usize, entry: usize) {
+        let silent = |s: &Session| s.silent_until > self.now || s.agent_open;
+        let frozen = self.agents[agent].frozen_until > self.now;
+        if frozen || self.sessions.get(&(agent, entry)).is_some_and(silent) {
+            self.after(50, Event::Open(agent, entry));
+            return;
+        }
+        if let Some(old) = self.sessions.get(&(agent, entry)).map(|s| s.number) {
+            self.close_at_entry(agent, entry, old);
+        }
+        self.next_session += 1;
+        let number = self.next_session;
+        let session = Session {
+            number,
+            silent_until: 0,
+            agent_open: true,
+            entry_open: true,
+            last_to_agent: self.now,
+            last_to_entry: self.now,
+        };
+        self.sessions.insert((agent, entry), session);
+        let now = self.at();
+        let incarnation = self.agents[agent].incarnation;
+        let client = client(entry, self.entries[entry].incarnation);
+        self.entries[entry].scheduler.session_opened(&agent_name(agent), incarnation, number, now);
+        self.agents[agent].keeper.session_opened(&client, number, now);
+        self.carry_out_entry(entry);
+        self.carry_out_agent(agent);
+        self.after(50, Event::Open(agent, entry));
+    }
+
+    fn close_at_agent(&mut self, agent: usize, entry: usize, number: u64) {
+        let session = self.sessions.get_mut(&(agent, entry));
+        if let Some(session) = session.filter(|s| s.number == number && s.agent_open) {
+            session.agent_open = false;
+            self.agents[agent].keeper.session_closed(number);
+        }
+    }
+
+    fn close_at_entry(&mut self, agent: usize, entry: usize, number: u64) {
+        let session = self.sessions.get_mut(&(agent, entry));
+        if let Some(session) = session.filter(|s| s.number == number && s.entry_open) {
+            session.entry_open = false;
+            let now = self.at();
+            self.entries[entry].scheduler.session_closed(&agent_name(agent), number, now);
+            self.carry_out_entry(entry);
+        }
+    }
+
+    fn send_to_entry(&mut self, agent: usize, entry: usize, frame: PoolFrame) {
+        let delay = self.rng.random_range(0..4);
+        let Some(session) = self.sessions.get_mut(&(agent, entry)).filter(|s| s.agent_open) else {
+            return;
+        };
+        session.last_to_entry = session.last_to_entry.max(self.now + delay);
+        let (delay, number) = (session.last_to_entry - self.now, session.number);
+        self.after(delay, Event::ToEntry(agent, entry, number, frame));
+    }
+
+    fn send_to_agent(&mut self, agent: usize, entry: usize, frame: PoolFrame) {
+        let delay = self.rng.random_range(0..4);
+        let Some(session) = self.sessions.get_mut(&(agent, entry)).filter(|s| s.entry_open) else {
+            return;
+        };
+        session.last_to_agent = session.last_to_agent.max(self.now + delay);
+        let (delay, number) = (session.last_to_agent - self.now, session.number);
+        self.after(delay, Event::ToAgent(agent, entry, number, frame));
+    }
+
+    fn to_agent(&mut self, agent: usize, entry: usize, number: u64, frame: PoolFrame) {
+        let Some(session) = self.sessions.get(&(agent, entry)) else {
+            return;
+        };
+        let frozen_until = self.agents[agent].frozen_until;
+        if frozen_until > self.now {
+            let delay = frozen_until - self.now;
+            self.after(delay, Event::ToAgent(agent, entry, number, frame));
+            return;
+        }
+        if session.number != number || !session.agent_open {
+            return;
+        }
+        if session.silent_until > self.now {
+            let delay = session.silent_until - self.now;
+            self.after(delay, Event::ToAgent(agent, entry, number, frame));
+            return;
+        }
+        let now = self.at();
+        let keeper = &mut self.agents[agent].keeper;
+        match frame {
+            PoolFrame::Echo(probe) => keeper.echoed(number, probe, now),
+            PoolFrame::View(view) => keeper.view_offered(number, *view, now),
+            PoolFrame::Run(orders) => keeper.run(number, orders, now),
+            PoolFrame::Stop(ids) => keeper.stop(number, &ids, now),
+            other => panic!("{} sent to an agent", other.kind()),
+        }
+        self.carry_out_agent(agent);
+    }
+
+    fn to_entry(&mut self, agent: usize, entry: usize, number: u64, frame: PoolFrame) {
+        let Some(session) = self.sessions.get(&(agent, entry)) else {
+            return;
+        };
+        if session.number != number || !session.entry_open {
+            return;
+        }
+        if session.silent_until > self.now {
+            let delay = session.silent_until - self.now;
+            self.after(delay, Event::ToEntry(agent, entry, number, frame));
+            return;
+        }
+        let now = self.at();
+        let name = agent_name(agent);
+        let state = &mut self.entries[entry];
+        match frame {
+            PoolFrame::Probe(probe) => self.send_to_agent(agent, entry, PoolFrame::Echo(probe)),
+            PoolFrame::Worker(info) => state.scheduler.worker_changed(&name, number, info, now),
+            PoolFrame::Free(free) => state.scheduler.freed(&name, number, free, now),
+            PoolFrame::Resume(resume) => state.scheduler.resumed(&name, number, &resume, now),
+            PoolFrame::Ended(ends) => state.scheduler.ended(&name, number, &ends, now),
+            PoolFrame::View(_) | PoolFrame::Entries(_) => {}
+            other => panic!("{} sent to an entry", other.kind()),
+        }
+        self.carry_out_entry(entry);
+    }
+
+    fn carry_out_agent(&mut self, agent: usize) {
+        let incarnation = self.agents[agent].incarnation;
+        for effect in self.agents[agent].keeper.take_effects() {
+            match effect {
+                keeper::Effect::Send(number, frame) => {
+                    let entry = (0..2).find(|e| {
+                        let session = self.sessions.get(&(agent, *e));
+                        session.is_some_and(|s| s.number == number)
+                    });
+                    if let Some(entry) = entry {
+                        self.send_to_entry(agent, entry, frame);
+                    }
+                }
+                keeper::Effect::Start(call) => {
+                    let answered = !self.lose_call();
+                    // Half of the calls without an answer are carried out seconds later.
+                    let late = !answered && self.rng.random_bool(0.5);
+                    let delay = if late { self.rng.random_range(1_000..6_000) } else { 1 };
+                    self.after(delay, Event::Start(agent, incarnation, call.clone(), answered));
+                    if !answered {
+                        self.after(35, Event::Started(agent, incarnation, call, None));
+                    }
+                }
+                keeper::Effect::Stop(call) => {
+                    if !self.lose_call() {
+                        self.after(1, Event::Stop(agent, call));
+                    }
+                }
+                keeper::Effect::Look => self.after(1, Event::Look(agent, incarnation)),
+                keeper::Effect::Remember(_) => {}
+            }
+        }
+    }
+
+    fn start(&mut self, agent: usize, incarnation: u64, call: StartCall, answered: bool) {
+        let work_ms = 20 + u64::from(call.order.id.task.index) * 150;
+        let (answer, began) = self.workers[agent].start(&call, work_ms, self.now);
+        if began {
+            self.seen.starts += 1;
+            self.started.insert(call.order.id.task.job.clone());
+        }
+        if answered {
+            let clock = match answer {
+                Ok(answer) => Some(answer.clock_ms),
+                Err(_) => None,
+            };
+            let fenced = answer == Err(CallError::Fenced);
+            if fenced {
+                let now = self.at();
+                let state = &mut self.agents[agent];
+                if state.incarnation == incarnation {
+                    state.keeper.started(&call, Err(CallError::Fenced), now);
+                    self.carry_out_agent(agent);
+                }
+                return;
+            }
+            if let Ok(answer) = answer {
+                let now = self.at();
+                let state = &mut self.agents[agent];
+                if state.incarnation == incarnation && state.frozen_until <= self.now {
+                    state.keeper.started(&call, Ok(answer), now);
+                    self.carry_out_agent(agent);
+                } else {
+                    self.after(40, Event::Started(agent, incarnation, call, clock));
+                }
+            }
+        }
+    }
+
+    /// Tells an agent that no answer came.
+    fn started(&mut self, agent: usize, incarnation: u64, call: &StartCall, _clock: Option<u64>) {
+        if self.agents[agent].incarnation == incarnation {
+            let now = self.at();
+            self.agents[agent].keeper.started(call, Err(no_answer()), now);
+            self.carry_out_agent(agent);
+        }
+    }
+
+    fn submit(&mut self, job: Name) {
+        if !self.open.contains_key(&job) {
+            self.seen.submitted += 1;
+        }
+        let count = self.rng.random_range(1..5);
+        let request = JobRequest {
+            id: job.clone(),
+            queue: "queue".into(),
+            spec: "x".into(),
+            steps: smallvec![StepRequest {
+                count,
+                room: cores(2),
+                expected_ms: 400,
+                ..StepRequest::default()
+            }],
+            deadline: self.at() + Duration::from_secs(5),
+        };
+        // A caller that submits again sends the same job.
+        let request = match self.open.get(&job) {
+            Some(first) => JobRequest {
+                deadline: request.deadline,
+                ..first.clone()
+            },
+            None => request,
+        };
+        self.open.insert(job.clone(), request.clone());
+        let entry = self.rng.random_range(0..2);
+        let now = self.at();
+        let state = &mut self.entries[entry];
+        match state.scheduler.submit(request, now) {
+            Ok(number) => {
+                state.jobs.insert(number, job);
+            }
+            Err(refusal) => {
+                assert!(refusal.not_run);
+                self.refused(&job);
+            }
+        }
+        self.carry_out_entry(entry);
+    }
+
+    fn carry_out_entry(&mut self, entry: usize) {
+        for effect in self.entries[entry].scheduler.take_effects() {
+            match effect {
+                scheduler::Effect::Send(number, frame) => {
+                    let agent = (0..3).find(|a| {
+                        let session = self.sessions.get(&(*a, entry));
+                        session.is_some_and(|s| s.number == number)
+                    });
+                    if let Some(agent) = agent {
+                        self.send_to_agent(agent, entry, frame);
+                    }
+                }
+                scheduler::Effect::Answer(number, outcome) => {
+                    let job = self.entries[entry].jobs.remove(&number);
+                    self.answered(&job.expect("the job was submitted here"), outcome);
+                }
+            }
+        }
+    }
+
+    fn answered(&mut self, job: &Name, outcome: JobOutcome) {
+        match outcome {
+            JobOutcome::Completed => {
+                self.seen.completed += 1;
+                self.open.remove(job);
+            }
+            JobOutcome::Failed => panic!("{job} failed, though no task fails here"),
+            JobOutcome::Refused(refusal) if refusal.not_run => self.refused(job),
+            JobOutcome::Refused(_) => {
+                self.may_run.insert(job.clone());
+                self.after(RESEND, Event::Submit(job.clone()));
+            }
+        }
+    }
+
+    /// Checks that a job refused for good has never run and never will.
+    fn refused(&mut self, job: &Name) {
+        self.seen.refused += 1;
+        self.open.remove(job);
+        if !self.may_run.contains(job) {
+            assert!(!self.started.contains(job), "{job} was refused as not run, but ran");
+        }
+    }
+
+    fn fault(&mut self) {
+        let (agent, entry) = (self.rng.random_range(0..3), self.rng.random_range(0..2));
+        let all = self.faults.sessions + self.faults.restarts;
+        if self.rng.random_range(0..all) < self.faults.sessions {
+            self.break_session(agent, entry);
+            return;
+        }
+        match self.rng.random_range(0..4) {
+            0 => self.restart_entry(entry),
+            1 => self.restart_agent(agent),
+            2 => self.restart_worker(agent),
+            _ => {
+                let time = self.rng.random_range(100..2_500);
+                self.agents[agent].frozen_until = self.now + time;
+            }
+        }
+    }
+
+    fn break_session(&mut self, agent: usize, entry: usize) {
+        let reset = self.rng.random_bool(0.5);
+        let silence = self.rng.random_range(100..3_000);
+        let Some(session) = self.sessions.get_mut(&(agent, entry)) else {
+            return;
+        };
+        let number = session.number;
+        if reset {
+            self.after(1, Event::AgentSilent(agent, entry, number));
+            self.after(3, Event::EntrySilent(agent, entry, number));
+        } else {
+            session.silent_until = self.now + silence;
+            if silence > SILENCE {
+                self.after(SILENCE, Event::AgentSilent(agent, entry, number));
+                self.after(SILENCE, Event::EntrySilent(agent, entry, number));
+            }
+        }
+    }
+
+    fn restart_entry(&mut self, entry: usize) {
+        let incarnation = self.entries[entry].incarnation + 10;
+        let lost = std::mem::replace(&mut self.entries[entry], new_entry(incarnation)).jobs;
+        for job in lost.into_values() {
+            self.may_run.insert(job.clone());
+            self.after(RESEND, Event::Submit(job));
+        }
+        for agent in 0..3 {
+            if let Some(session) = self.sessions.get_mut(&(agent, entry)) {
+                session.entry_open = false;
+                let number = session.number;
+                self.after(1, Event::AgentSilent(agent, entry, number));
+            }
+        }
+    }
+
+    fn restart_agent(&mut self, agent: usize) {
+        let incarnation = self.agents[agent].incarnation + 1;
+        self.agents[agent] = self.new_agent(incarnation);
+        for entry in 0..2 {
+            if let Some(session) = self.sessions.get_mut(&(agent, entry)) {
+                session.agent_open = false;
+                let number = session.number;
+                self.after(1, Event::EntrySilent(agent, entry, number));
+            }
+        }
+        self.after(30, Event::Look(agent, incarnation));
+    }
+
+    fn restart_worker(&mut self, agent: usize) {
+        let capacity = self.workers[agent].capacity;
+        self.workers[agent] = Worker::new(capacity, self.now);
+    }
+
+    fn new_agent(&self, incarnation: u64) -> AgentState {
+        let unix_ms = 1_000_000 + self.now;
+        AgentState {
+            keeper: Keeper::new(Duration::from_secs(1), unix_ms, self.at()),
+            incarnation,
+            missed: 0,
+            frozen_until: 0,
+        }
+    }
+
+    /// Checks that no task runs at two workers.
+    fn check_single_runs(&mut self) {
+        let mut running: BTreeSet<TaskId> = BTreeSet::new();
+        for worker in &mut self.workers {
+            worker.advance(self.now);
+            for task in worker.tasks() {
+                assert!(running.insert(task.clone()), "{task} runs at two workers at {}", self.now);
+            }
+        }
+    }
+}
+
+fn new_entry(incarnation: u64) -> EntryState {
+    let mut scheduler = Scheduler::new("zone".into());
+    let queue = Queue {
+        name: "queue".into(),
+        host: "host".into(),
+        path_prefix: "/".into(),
+        service: "quotes".into(),
+        priority: 0,
+        max_attempts: 3,
+        stretch: 2.0,
+        latency_target_ms: 500,
+    };
+    scheduler.view_offered(OperatorView {
+        position: 1,
+        queues: vec![queue],
+        ..OperatorView::default()
+    });
+    EntryState {
+        scheduler,
+        incarnation,
+        jobs: BTreeMap::new(),
+    }
+}
+
+fn client(entry: usize, incarnation: u64) -> ClientId {
+    ClientId {
+        name: format!("entry-{entry}").into(),
+        incarnation,
+    }
+}
+
+fn agent_name(agent: usize) -> Name {
+    format!("agent-{agent}").into()
+}
+
+fn cores(cores: u64) -> Room {
+    Room {
+        cpu: cores * 1_000,
+        memory_mb: cores,
+        gpus: 0,
+    }
+}
+
+fn no_answer() -> CallError {
+    CallError::NoAnswer("lost".to_owned())
+}
