Give returned workers all their tasks at once

Change: a new session starts without the ramp, as agents guard the room; workers that were taken out still come back by it. Ruled out: late sessions: all were open.

--- a/crates/masticcross-jobs/src/health.rs
+++ b/crates/masticcross-jobs/src/health.rs
@@ -66,6 +66,16 @@
         }
     }
 
+    /// Creates the standing of a worker that may have all its tasks at once.
+    #[must_use]
+    pub fn warm(now: Instant) -> Self {
+        let ramp = RAMP_INTERVAL * RAMP_STEPS;
+        Self {
+            ramp_since: now.checked_sub(ramp).unwrap_or(now),
+            ..Self::new(now)
+        }
+    }
+
     /// Lets the number of tasks grow from a few again.
     pub fn restart_ramp(&mut self, now: Instant) {
         self.ramp_since = now;
--- a/crates/masticcross-jobs/src/keeper/tests.rs
+++ b/crates/masticcross-jobs/src/keeper/tests.rs
@@ -13,8 +13,8 @@
 use super::clients::{AUTHORITY, ClientId};
 use super::{Effect, Keeper, START_TIMEOUT, SessionId, WorkerReport};
 use crate::worker_client::{
-    CallError, EndedEntry, LookCall, RunningEntry, StartAnswer, StartCall, StartVerdict,
-    WorkerEnd, WorkerLife, WorkerLists,
+    CallError, EndedEntry, LookCall, RunningEntry, StartAnswer, StartCall, StartVerdict, WorkerEnd,
+    WorkerLife, WorkerLists,
 };
 
 /// Names each test case.
@@ -78,7 +78,9 @@
     }
 
     fn report(&mut self, born_ms: u64, sequence: u64, leaving: bool) -> bool {
-        let accepted = self.keeper.worker_reported(report(born_ms, sequence, leaving), self.now);
+        let accepted = self
+            .keeper
+            .worker_reported(report(born_ms, sequence, leaving), self.now);
         self.effects.extend(self.keeper.take_effects());
         accepted
     }
--- a/crates/masticcross-jobs/src/scheduler/mod.rs
+++ b/crates/masticcross-jobs/src/scheduler/mod.rs
@@ -180,13 +180,7 @@
         now: Instant,
     ) {
         match self.workers.get_mut(name) {
-            Some(worker) => {
-                let restarted = worker.incarnation != incarnation;
-                worker.open(incarnation, session);
-                if restarted {
-                    worker.health.restart_ramp(now);
-                }
-            }
+            Some(worker) => worker.open(incarnation, session),
             None => {
                 let worker = Worker::new(name.clone(), incarnation, session, now);
                 self.workers.insert(name.clone(), worker);
--- a/crates/masticcross-jobs/src/scheduler/worker.rs
+++ b/crates/masticcross-jobs/src/scheduler/worker.rs
@@ -52,7 +52,7 @@
             incarnation,
             session: Some(session),
             info: None,
-            health: Health::new(now),
+            health: Health::warm(now),
             running: 0,
             speed: Speed::default(),
             free: Room::default(),
