Move slow runs, serve metrics, test the translation

Cause: a worker that slowed down was noticed only by the ends of its runs, 0.4 to 6 s late; on-call engineers had no metrics of the new roles; the adapter had no tests. Change: the agent reads each run's progress and stops a first run that would take over three times the expected time, or one that stands still for 250 ms; the entry runs it elsewhere and takes the worker out.

--- a/crates/masticcross-agent/src/metrics.rs
+++ b/crates/masticcross-agent/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use masticcross_wire::{Frame, NotStartedReason, TaskOutcome};
+use masticcross_wire::{Frame, TaskOutcome};
 use prometheus::{Gauge, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
 
 use crate::core::Stats;
@@ -86,9 +86,7 @@
             TaskOutcome::Stopped => "stopped",
             TaskOutcome::ResultDropped => "result_dropped",
             TaskOutcome::NotStarted(reason) => {
-                self.not_started
-                    .with_label_values(&[reason_label(*reason)])
-                    .inc();
+                self.not_started.with_label_values(&[reason.label()]).inc();
                 return;
             }
         };
@@ -128,18 +126,3 @@
 fn count(value: usize) -> i64 {
     i64::try_from(value).unwrap_or(i64::MAX)
 }
-
-fn reason_label(reason: NotStartedReason) -> &'static str {
-    match reason {
-        NotStartedReason::ViewStale => "view_stale",
-        NotStartedReason::OldEpoch => "old_epoch",
-        NotStartedReason::ZoneOut => "zone_out",
-        NotStartedReason::NoBackend => "no_backend",
-        NotStartedReason::NoRoom => "no_room",
-        NotStartedReason::ShuttingDown => "shutting_down",
-        NotStartedReason::Stopped => "stopped",
-        NotStartedReason::DeadlinePassed => "deadline_passed",
-        NotStartedReason::ConnectFailed => "connect_failed",
-        NotStartedReason::AlreadyKnown => "already_known",
-    }
-}
--- a/crates/masticcross-entry/src/dispatch/serve.rs
+++ b/crates/masticcross-entry/src/dispatch/serve.rs
@@ -134,7 +134,8 @@
             | Frame::Handover(_)
             | Frame::HandoverTaken(_)
             | Frame::WhoHears(_)
-            | Frame::Heard { .. } => return Handled::Close(Some(Code::MalformedFrame)),
+            | Frame::Heard { .. }
+            | Frame::Pool(_) => return Handled::Close(Some(Code::MalformedFrame)),
         }
         Handled::Continue
     }
--- a/crates/masticcross-jobs/src/agent.rs
+++ b/crates/masticcross-jobs/src/agent.rs
@@ -16,6 +16,7 @@
 
 use crate::keeper::clients::ClientId;
 use crate::keeper::{Effect, Keeper, LOOK_WAIT, START_TIMEOUT, SessionId, WorkerReport};
+use crate::metrics::{self, AgentMetrics};
 use crate::worker_client::{CallError, LookCall, StartCall, StopCall, WorkerClient};
 use crate::worker_memory::WorkerMemory;
 
@@ -34,7 +35,7 @@
 const MAX_REDIAL: Duration = Duration::from_millis(100);
 
 /// Time after which an address at which nothing was ever heard is not dialled any more.
-const FORGET_ADDR: Duration = Duration::from_secs(60);
+const FORGET_ADDR: Duration = Duration::from_mins(1);
 
 /// Interval of the decisions that depend on time alone.
 const TICK: Duration = Duration::from_millis(20);
@@ -71,6 +72,7 @@
     identity: AgentIdentity,
     keeper: Mutex<Keeper>,
     outlets: Mutex<BTreeMap<SessionId, mpsc::Sender<Frame>>>,
+    metrics: AgentMetrics,
     client: Arc<dyn WorkerClient>,
     memory: Arc<dyn WorkerMemory>,
     dialer: Arc<dyn Dialer>,
@@ -83,7 +85,9 @@
 impl Agent {
     /// Creates an agent. `lease` is the longest lease that the worker grants, `unix_ms` the time of
     /// day.
-    #[must_use]
+    ///
+    /// # Errors
+    /// Fails if a metric's name is registered twice.
     pub fn new(
         identity: AgentIdentity,
         lease: Duration,
@@ -91,8 +95,9 @@
         client: Arc<dyn WorkerClient>,
         memory: Arc<dyn WorkerMemory>,
         dialer: Arc<dyn Dialer>,
-    ) -> Arc<Self> {
-        Arc::new(Self {
+    ) -> metrics::Result<Arc<Self>> {
+        Ok(Arc::new(Self {
+            metrics: AgentMetrics::new()?,
             identity,
             keeper: Mutex::new(Keeper::new(lease, unix_ms, Instant::now())),
             outlets: Mutex::default(),
@@ -103,7 +108,14 @@
             entries_changed: Notify::new(),
             worker_changed: Notify::new(),
             missed_look: Mutex::new(None),
-        })
+        }))
+    }
+
+    /// Writes all metrics in the text format.
+    #[must_use]
+    pub fn metrics_text(&self) -> String {
+        let levels = self.keeper.lock().levels(Instant::now());
+        self.metrics.text(levels)
     }
 
     /// Serves until the process ends. `seeds` are addresses at which entries may listen.
@@ -172,7 +184,12 @@
 
     fn carry_out(self: &Arc<Self>, effect: Effect) {
         match effect {
-            Effect::Send(session, frame) => self.send(session, frame),
+            Effect::Send(session, frame) => {
+                if let PoolFrame::Ended(ends) = &frame {
+                    self.metrics.runs_ended(ends);
+                }
+                self.send(session, frame);
+            }
             Effect::Start(call) => {
                 tokio::spawn(self.clone().start(call));
             }
@@ -201,8 +218,13 @@
     }
 
     async fn start(self: Arc<Self>, call: StartCall) {
+        let sent_at = Instant::now();
         let answer = timeout(START_TIMEOUT, self.client.start(call.clone())).await;
         let answer = answer.unwrap_or_else(|_| Err(no_answer()));
+        match &answer {
+            Ok(_) => self.metrics.start_answered(sent_at.elapsed()),
+            Err(_) => self.metrics.unanswered("start"),
+        }
         self.with_keeper(|keeper, now| keeper.started(&call, answer, now));
     }
 
@@ -236,6 +258,7 @@
         let answer = answer.unwrap_or_else(|_| Err(no_answer()));
         let answered = !matches!(answer, Err(CallError::NoAnswer(_)));
         if !answered {
+            self.metrics.unanswered("look");
             *self.missed_look.lock() = Some(Instant::now());
         }
         self.with_keeper(|keeper, now| keeper.looked(&call, answer, now));
--- a/crates/masticcross-jobs/src/entry.rs
+++ b/crates/masticcross-jobs/src/entry.rs
@@ -14,6 +14,7 @@
 use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
 
 use crate::job::{JobOutcome, JobRequest};
+use crate::metrics::{self, EntryMetrics};
 use crate::scheduler::table::JobNumber;
 use crate::scheduler::{Effect, Scheduler, SessionId};
 
@@ -40,6 +41,7 @@
 /// A running entry.
 pub struct Entry {
     identity: EntryIdentity,
+    metrics: EntryMetrics,
     state: Mutex<State>,
 }
 
@@ -53,8 +55,10 @@
 
 impl Entry {
     /// Creates an entry that knows nothing yet.
-    #[must_use]
-    pub fn new(identity: EntryIdentity) -> Arc<Self> {
+    ///
+    /// # Errors
+    /// Fails if a metric's name is registered twice.
+    pub fn new(identity: EntryIdentity) -> metrics::Result<Arc<Self>> {
         let own = identity.addr.clone();
         let state = State {
             scheduler: Scheduler::new(identity.zone.clone()),
@@ -63,10 +67,11 @@
             callers: FxHashMap::default(),
             entries: BTreeMap::from([(own.name.clone(), own)]),
         };
-        Arc::new(Self {
+        Ok(Arc::new(Self {
             identity,
+            metrics: EntryMetrics::new()?,
             state: Mutex::new(state),
-        })
+        }))
     }
 
     /// Serves the sessions of agents until the process ends.
@@ -76,10 +81,20 @@
 
     /// Runs a job and returns how it ended. A job whose callers have all left is stopped.
     pub async fn submit(self: &Arc<Self>, request: JobRequest) -> JobOutcome {
-        match self.enter(request) {
+        let arrived = Instant::now();
+        let outcome = match self.enter(request) {
             Ok(waiting) => waiting.outcome().await,
             Err(refusal) => JobOutcome::Refused(refusal),
-        }
+        };
+        self.metrics.answered(&outcome, arrived.elapsed());
+        outcome
+    }
+
+    /// Writes all metrics in the text format.
+    #[must_use]
+    pub fn metrics_text(&self) -> String {
+        let levels = self.state.lock().scheduler.levels();
+        self.metrics.text(levels)
     }
 
     /// Cancels a job. Returns false if it is not here.
@@ -168,6 +183,7 @@
             };
             callers.retain(|tx| !tx.is_closed());
             if callers.is_empty() {
+                self.metrics.callers_left();
                 log::info!(number; "job stopped: its callers have left");
                 state.callers.remove(&number);
                 state.scheduler.cancel(number);
@@ -285,7 +301,10 @@
             PoolFrame::Resume(resume) if resume.entry == self.identity.incarnation => {
                 state.scheduler.resumed(agent, session, &resume, now);
             }
-            PoolFrame::Ended(ends) => state.scheduler.ended(agent, session, &ends, now),
+            PoolFrame::Ended(ends) => {
+                self.metrics.runs_ended(&ends);
+                state.scheduler.ended(agent, session, &ends, now);
+            }
             PoolFrame::View(view) => {
                 state.scheduler.view_offered(*view);
             }
--- a/crates/masticcross-jobs/src/keeper/calls.rs
+++ b/crates/masticcross-jobs/src/keeper/calls.rs
@@ -23,9 +23,6 @@
 /// Answers to looks that may be missing before the lease is not extended any more.
 const UNANSWERED_LOOKS: u32 = 2;
 
-/// Time without progress after which a run counts as stuck.
-const STUCK_AFTER: Duration = Duration::from_millis(400);
-
 /// Step of a run's number at the worker after it refused one as too low.
 const RUN_NUMBER_STEP: u32 = 16;
 
@@ -55,7 +52,7 @@
             return;
         }
         match answer {
-            Ok(lists) => self.listed(call.token, lists, now),
+            Ok(lists) => self.listed(call.token, &lists, now),
             Err(CallError::Fenced) => {
                 log::warn!(token = call.token; "fencing token refused; raised");
                 self.lease.jump_token(call.token);
@@ -220,7 +217,7 @@
         }
     }
 
-    fn listed(&mut self, token: u64, lists: WorkerLists, now: Instant) {
+    fn listed(&mut self, token: u64, lists: &WorkerLists, now: Instant) {
         let Some(life) = self.worker.as_ref().map(|worker| worker.life.clone()) else {
             return;
         };
@@ -239,10 +236,10 @@
             worker.heard_at = Some(now);
         }
         let full = lists.ended.len() >= FULL_LIST;
-        self.take_ends(&lists, now);
-        self.take_running(&lists, now);
+        self.take_ends(lists, now);
+        self.take_running(lists, now);
         if !full {
-            self.find_missing(token, &lists, now);
+            self.find_missing(token, lists, now);
         }
         if let Some(worker) = &mut self.worker {
             worker.listed = true;
@@ -290,11 +287,9 @@
                 };
                 run.progress = (entry.percent, now);
             }
-            if entry.percent != run.progress.0 {
-                run.progress = (entry.percent, now);
-            } else if now.saturating_duration_since(run.progress.1) >= STUCK_AFTER && !run.stopping
-            {
-                log::info!(run:% = run.order.id, percent = entry.percent; "stopped: no progress");
+            run.progressed(entry.percent, now);
+            if run.is_stuck(now) && !run.stopping {
+                log::info!(run:% = run.order.id, percent = entry.percent; "stopped: hardly any progress");
                 run.stopping = true;
                 run.stuck = true;
             }
--- a/crates/masticcross-jobs/src/keeper/mod.rs
+++ b/crates/masticcross-jobs/src/keeper/mod.rs
@@ -29,7 +29,7 @@
 use crate::worker_client::{StartCall, StopCall, WorkerLife};
 
 pub use calls::{LOOK_WAIT, START_TIMEOUT};
-use clients::{ClientId, Clients};
+use clients::{Client, ClientId, Clients};
 use lease::Lease;
 use runs::{Phase, Run, Runs};
 
@@ -256,7 +256,7 @@
         let ended = self
             .clients
             .get(id)
-            .map_or_else(Vec::new, |c| c.late_ends());
+            .map_or_else(Vec::new, Client::late_ends);
         let resume = Resume {
             entry: id.incarnation,
             running,
@@ -425,9 +425,10 @@
     }
 
     fn start(&mut self, client: &ClientId, order: RunOrder, now: Instant) {
+        let id = order.id.clone();
         let worker_run = self.runs.next_worker_run(&order.id);
         self.runs.insert(Run {
-            order: order.clone(),
+            order,
             client: client.clone(),
             worker_run,
             phase: Phase::Starting {
@@ -441,7 +442,7 @@
             stopping: false,
             stuck: false,
         });
-        self.send_start(&order.id, now);
+        self.send_start(&id, now);
     }
 
     /// Returns the room that entries may use.
--- a/crates/masticcross-jobs/src/keeper/runs.rs
+++ b/crates/masticcross-jobs/src/keeper/runs.rs
@@ -1,11 +1,23 @@
 //! What an agent has started at its worker, and the room that it takes.
 
+use std::time::Duration;
+
 use masticcross_wire::pool::{Room, RunId, RunOrder, TaskId};
 use rustc_hash::FxHashMap;
 use tokio::time::Instant;
 
 use super::clients::ClientId;
 
+/// Time without progress after which a run stands still.
+const STILL_AFTER: Duration = Duration::from_millis(250);
+
+/// Run time before which no run is taken for slow.
+const SLOW_AFTER: Duration = Duration::from_millis(80);
+
+/// Times the expected run time beyond which a run is slow. Expected times are off by up to 1.7, and
+/// sound workers differ by up to 1.6 (the site files).
+const SLOW_FACTOR: u32 = 3;
+
 /// How far a run is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
@@ -48,6 +60,29 @@
     pub stuck: bool,
 }
 
+impl Run {
+    /// Takes over the progress that the worker lists.
+    pub fn progressed(&mut self, percent: u32, now: Instant) {
+        if percent != self.progress.0 {
+            self.progress = (percent, now);
+        }
+    }
+
+    /// Returns true if the run stands still, or is so slow that another worker would end it sooner.
+    /// Only a first run can be slow: a second one that is slow, too, is the task's own fault.
+    #[must_use]
+    pub fn is_stuck(&self, now: Instant) -> bool {
+        let still = now.saturating_duration_since(self.progress.1) >= STILL_AFTER;
+        let elapsed = now.saturating_duration_since(self.since);
+        let expected = Duration::from_millis(self.order.expected_ms.into());
+        let projected = elapsed * 100 / self.progress.0.max(1);
+        let slow = elapsed >= SLOW_AFTER
+            && self.progress.0 < 50
+            && projected > expected * SLOW_FACTOR + SLOW_AFTER;
+        still || (slow && self.order.id.run == 1)
+    }
+}
+
 /// All runs that hold room, by task. A task has one run at a time.
 #[derive(Debug, Default)]
 pub struct Runs {
--- a/crates/masticcross-jobs/src/keeper/tests.rs
+++ b/crates/masticcross-jobs/src/keeper/tests.rs
@@ -202,6 +202,7 @@
         id: run(index, 1),
         room: room(cores),
         spec: "x".into(),
+        expected_ms: 100,
         late: false,
     }
 }
@@ -482,6 +483,38 @@
         assert_eq!(b.results(), vec![RunResult::Stuck]);
     };
 
+    a_slow_run_is_stopped_once => |mut b: Bench| {
+        b.start_run(0, 3);
+        for percent in [4, 8, 12, 16] {
+            b.pass_in_contact(Duration::from_millis(40));
+            b.look(vec![running(0, percent)], vec![]);
+        }
+        assert_eq!(b.stops(), 1);
+        b.look(vec![], vec![ended(1, 0, WorkerEnd::Stopped)]);
+        assert_eq!(b.results(), vec![RunResult::Stuck]);
+        let mut again = order(0, 3);
+        again.id.run = 2;
+        b.order(again);
+        let call = b.take_start().expect("the run fits");
+        b.started(&call, StartVerdict::Started);
+        for percent in [4, 8, 12, 16] {
+            b.pass_in_contact(Duration::from_millis(40));
+            let mut entry = running(0, percent);
+            entry.run.run = call.worker_run;
+            b.look(vec![entry], vec![]);
+        }
+        assert_eq!(b.stops(), 1);
+    };
+
+    a_run_of_a_sound_worker_is_not_taken_for_slow => |mut b: Bench| {
+        b.start_run(0, 3);
+        for percent in [15, 30, 45, 60, 75, 90] {
+            b.pass_in_contact(Duration::from_millis(40));
+            b.look(vec![running(0, percent)], vec![]);
+        }
+        assert_eq!(b.stops(), 0);
+    };
+
     a_late_run_yields_to_others_for_a_while => |mut b: Bench| {
         b.start_run(0, 8);
         b.order(order(1, 5));
--- a/crates/masticcross-jobs/src/lib.rs
+++ b/crates/masticcross-jobs/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod health;
 pub mod job;
 pub mod keeper;
+pub mod metrics;
 pub mod runtime;
 pub mod scheduler;
 pub mod worker_client;
--- /dev/null
+++ b/crates/masticcross-jobs/src/metrics.rs
@@ -0,0 +1,197 @@
+//! Metrics of entries and agents.
+
+use std::time::Duration;
+
+use masticcross_wire::pool::{RunEnd, RunResult};
+use prometheus::{
+    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+
+use crate::job::JobOutcome;
+use crate::keeper::KeeperLevels;
+use crate::scheduler::SchedulerLevels;
+
+/// Result of the registration of a metric.
+pub type Result<T> = prometheus::Result<T>;
+
+/// Upper bounds of the buckets of jobs' times, in seconds.
+const JOB_SECONDS: [f64; 11] = [0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1.0, 1.5, 2.5, 5.0, 10.0];
+
+/// Upper bounds of the buckets of calls' times, in seconds.
+const CALL_SECONDS: [f64; 8] = [0.001, 0.002, 0.005, 0.01, 0.02, 0.035, 0.06, 0.2];
+
+/// Counters, gauges and histograms of an entry.
+#[derive(Debug, Clone)]
+pub struct EntryMetrics {
+    registry: Registry,
+    job_seconds: HistogramVec,
+    refusals: IntCounterVec,
+    callers_left: IntCounter,
+    run_ends: IntCounterVec,
+    jobs: IntGauge,
+    waiting: IntGauge,
+    workers: IntGauge,
+}
+
+impl EntryMetrics {
+    /// Creates the metrics with a registry of their own.
+    ///
+    /// # Errors
+    /// Fails if a name is registered twice.
+    pub fn new() -> Result<Self> {
+        let registry = Registry::new_custom(Some("masticcross_entry".to_owned()), None)?;
+        let opts = HistogramOpts::new("job_seconds", "Time to a job's answer, by outcome");
+        let job_seconds = HistogramVec::new(opts.buckets(JOB_SECONDS.to_vec()), &["outcome"])?;
+        registry.register(Box::new(job_seconds.clone()))?;
+        let callers_left = IntCounter::new("callers_left_total", "Jobs stopped, callers gone")?;
+        registry.register(Box::new(callers_left.clone()))?;
+        Ok(Self {
+            job_seconds,
+            refusals: counters(&registry, "refusals_total", "Refusals, by code", "code")?,
+            callers_left,
+            run_ends: counters(&registry, "run_ends_total", "Ends of runs", "result")?,
+            jobs: gauge(&registry, "jobs_open", "Jobs that have not ended")?,
+            waiting: gauge(
+                &registry,
+                "jobs_waiting",
+                "Jobs with tasks that wait for room",
+            )?,
+            workers: gauge(&registry, "workers_usable", "Workers that can be used")?,
+            registry,
+        })
+    }
+
+    /// Counts a job that was answered.
+    pub fn answered(&self, outcome: &JobOutcome, took: Duration) {
+        let label = match outcome {
+            JobOutcome::Completed => "completed",
+            JobOutcome::Failed => "failed",
+            JobOutcome::Refused(refusal) => {
+                let code = refusal.code.number().to_string();
+                self.refusals.with_label_values(&[code.as_str()]).inc();
+                "refused"
+            }
+        };
+        let seconds = self.job_seconds.with_label_values(&[label]);
+        seconds.observe(took.as_secs_f64());
+    }
+
+    /// Counts a job that was stopped because its callers had left.
+    pub fn callers_left(&self) {
+        self.callers_left.inc();
+    }
+
+    /// Counts ends of runs.
+    pub fn runs_ended(&self, ends: &[RunEnd]) {
+        count_ends(&self.run_ends, ends);
+    }
+
+    /// Writes all metrics in the text format.
+    #[must_use]
+    pub fn text(&self, levels: SchedulerLevels) -> String {
+        self.jobs.set(count(levels.jobs));
+        self.waiting.set(count(levels.waiting));
+        self.workers.set(count(levels.workers));
+        text(&self.registry)
+    }
+}
+
+/// Counters, gauges and histograms of an agent.
+#[derive(Debug, Clone)]
+pub struct AgentMetrics {
+    registry: Registry,
+    start_seconds: Histogram,
+    unanswered: IntCounterVec,
+    run_ends: IntCounterVec,
+    runs: IntGauge,
+    free_cpu: IntGauge,
+    open: IntGauge,
+}
+
+impl AgentMetrics {
+    /// Creates the metrics with a registry of their own.
+    ///
+    /// # Errors
+    /// Fails if a name is registered twice.
+    pub fn new() -> Result<Self> {
+        let registry = Registry::new_custom(Some("masticcross_agent".to_owned()), None)?;
+        let opts = HistogramOpts::new("start_seconds", "Time to the worker's answer to a start");
+        let start_seconds = Histogram::with_opts(opts.buckets(CALL_SECONDS.to_vec()))?;
+        registry.register(Box::new(start_seconds.clone()))?;
+        Ok(Self {
+            start_seconds,
+            unanswered: counters(&registry, "calls_unanswered_total", "Calls lost", "call")?,
+            run_ends: counters(&registry, "run_ends_total", "Ends of runs", "result")?,
+            runs: gauge(&registry, "runs", "Runs that hold room")?,
+            free_cpu: gauge(&registry, "free_cpu", "Free thousandths of a core")?,
+            open: gauge(&registry, "worker_open", "1 while the worker takes runs")?,
+            registry,
+        })
+    }
+
+    /// Counts a start that the worker answered.
+    pub fn start_answered(&self, took: Duration) {
+        self.start_seconds.observe(took.as_secs_f64());
+    }
+
+    /// Counts a call that the worker did not answer.
+    pub fn unanswered(&self, call: &str) {
+        self.unanswered.with_label_values(&[call]).inc();
+    }
+
+    /// Counts ends of runs.
+    pub fn runs_ended(&self, ends: &[RunEnd]) {
+        count_ends(&self.run_ends, ends);
+    }
+
+    /// Writes all metrics in the text format.
+    #[must_use]
+    pub fn text(&self, levels: KeeperLevels) -> String {
+        self.runs.set(count(levels.runs));
+        self.free_cpu
+            .set(i64::try_from(levels.free.cpu).unwrap_or(i64::MAX));
+        self.open.set(i64::from(levels.open));
+        text(&self.registry)
+    }
+}
+
+fn counters(registry: &Registry, name: &str, help: &str, label: &str) -> Result<IntCounterVec> {
+    let counters = IntCounterVec::new(Opts::new(name, help), &[label])?;
+    registry.register(Box::new(counters.clone()))?;
+    Ok(counters)
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str) -> Result<IntGauge> {
+    let gauge = IntGauge::new(name, help)?;
+    registry.register(Box::new(gauge.clone()))?;
+    Ok(gauge)
+}
+
+fn text(registry: &Registry) -> String {
+    let text = TextEncoder::new().encode_to_string(&registry.gather());
+    text.unwrap_or_else(|error| format!("# {error}\n"))
+}
+
+fn count_ends(counters: &IntCounterVec, ends: &[RunEnd]) {
+    for end in ends {
+        counters
+            .with_label_values(&[result_label(end.result)])
+            .inc();
+    }
+}
+
+fn result_label(result: RunResult) -> &'static str {
+    match result {
+        RunResult::Done => "done",
+        RunResult::Failed => "failed",
+        RunResult::Stopped => "stopped",
+        RunResult::Lost => "lost",
+        RunResult::Stuck => "stuck",
+        RunResult::NotStarted(reason) => reason.label(),
+    }
+}
+
+fn count(value: usize) -> i64 {
+    i64::try_from(value).unwrap_or(i64::MAX)
+}
--- a/crates/masticcross-jobs/src/scheduler/mod.rs
+++ b/crates/masticcross-jobs/src/scheduler/mod.rs
@@ -179,12 +179,11 @@
         session: SessionId,
         now: Instant,
     ) {
-        match self.workers.get_mut(name) {
-            Some(worker) => worker.open(incarnation, session),
-            None => {
-                let worker = Worker::new(name.clone(), incarnation, session, now);
-                self.workers.insert(name.clone(), worker);
-            }
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.open(incarnation, session);
+        } else {
+            let worker = Worker::new(name.clone(), incarnation, session, now);
+            self.workers.insert(name.clone(), worker);
         }
         if let Some(view) = &self.view {
             let frame = PoolFrame::View(Box::new(view.clone()));
--- a/crates/masticcross-jobs/src/scheduler/placement.rs
+++ b/crates/masticcross-jobs/src/scheduler/placement.rs
@@ -148,6 +148,7 @@
             id: job.run_id(pos, run),
             room: step.room,
             spec: job.request.spec.clone(),
+            expected_ms: step.expected_ms,
             late,
         };
         self.workers.get_mut(worker)?.send(order.room);
--- a/crates/masticcross-jobs/tests/schedule/world.rs
+++ b/crates/masticcross-jobs/tests/schedule/world.rs
@@ -77,7 +77,7 @@
     ToEntry(usize, usize, u64, PoolFrame),
     Start(usize, u64, StartCall, bool),
     Stop(usize, StopCall),
-    Started(usize, u64, StartCall, Option<u64>),
+    NoAnswer(usize, u64, StartCall),
     Submit(Name),
     Fault,
 }
@@ -217,10 +217,10 @@
             Event::AgentSilent(agent, entry, number) => self.close_at_agent(agent, entry, number),
             Event::EntrySilent(agent, entry, number) => self.close_at_entry(agent, entry, number),
             Event::ToAgent(agent, entry, number, frame) => {
-                self.to_agent(agent, entry, number, frame)
+                self.agent_gets(agent, entry, number, frame);
             }
             Event::ToEntry(agent, entry, number, frame) => {
-                self.to_entry(agent, entry, number, frame)
+                self.entry_gets(agent, entry, number, frame);
             }
             Event::Start(agent, incarnation, call, answered) => {
                 self.start(agent, incarnation, call, answered);
@@ -230,9 +230,7 @@
                 // A stop that is refused is sent again by the agent's next tick.
                 let _ = self.workers[agent].stop(&call, now);
             }
-            Event::Started(agent, incarnation, call, clock) => {
-                self.started(agent, incarnation, &call, clock);
-            }
+            Event::NoAnswer(agent, incarnation, call) => self.no_answer(agent, incarnation, &call),
             Event::Submit(job) => self.submit(job),
             Event::Fault => self.fault(),
         }
@@ -404,7 +402,7 @@
         self.after(delay, Event::ToAgent(agent, entry, number, frame));
     }
 
-    fn to_agent(&mut self, agent: usize, entry: usize, number: u64, frame: PoolFrame) {
+    fn agent_gets(&mut self, agent: usize, entry: usize, number: u64, frame: PoolFrame) {
         let Some(session) = self.sessions.get(&(agent, entry)) else {
             return;
         };
@@ -434,7 +432,7 @@
         self.carry_out_agent(agent);
     }
 
-    fn to_entry(&mut self, agent: usize, entry: usize, number: u64, frame: PoolFrame) {
+    fn entry_gets(&mut self, agent: usize, entry: usize, number: u64, frame: PoolFrame) {
         let Some(session) = self.sessions.get(&(agent, entry)) else {
             return;
         };
@@ -488,7 +486,7 @@
                         Event::Start(agent, incarnation, call.clone(), answered),
                     );
                     if !answered {
-                        self.after(35, Event::Started(agent, incarnation, call, None));
+                        self.after(35, Event::NoAnswer(agent, incarnation, call));
                     }
                 }
                 keeper::Effect::Stop(call) => {
@@ -509,36 +507,21 @@
             self.seen.starts += 1;
             self.started.insert(call.order.id.task.job.clone());
         }
-        if answered {
-            let clock = match answer {
-                Ok(answer) => Some(answer.clock_ms),
-                Err(_) => None,
-            };
-            let fenced = answer == Err(CallError::Fenced);
-            if fenced {
-                let now = self.at();
-                let state = &mut self.agents[agent];
-                if state.incarnation == incarnation {
-                    state.keeper.started(&call, Err(CallError::Fenced), now);
-                    self.carry_out_agent(agent);
-                }
-                return;
-            }
-            if let Ok(answer) = answer {
-                let now = self.at();
-                let state = &mut self.agents[agent];
-                if state.incarnation == incarnation && state.frozen_until <= self.now {
-                    state.keeper.started(&call, Ok(answer), now);
-                    self.carry_out_agent(agent);
-                } else {
-                    self.after(40, Event::Started(agent, incarnation, call, clock));
-                }
-            }
+        if !answered {
+            return;
+        }
+        let now = self.at();
+        let state = &mut self.agents[agent];
+        if state.incarnation == incarnation && state.frozen_until <= self.now {
+            state.keeper.started(&call, answer, now);
+            self.carry_out_agent(agent);
+        } else {
+            self.after(40, Event::NoAnswer(agent, incarnation, call));
         }
     }
 
     /// Tells an agent that no answer came.
-    fn started(&mut self, agent: usize, incarnation: u64, call: &StartCall, _clock: Option<u64>) {
+    fn no_answer(&mut self, agent: usize, incarnation: u64, call: &StartCall) {
         if self.agents[agent].incarnation == incarnation {
             let now = self.at();
             self.agents[agent]
--- a/crates/masticcross-wire/src/codec/tests.rs
+++ b/crates/masticcross-wire/src/codec/tests.rs
@@ -1,5 +1,7 @@
 //! Every frame survives the coding, and no bytes make the decoder panic.
 
+mod pool;
+
 use masticcross_basics::timeline::Stamp;
 use masticcross_basics::{AttemptId, Code, Epoch, JobKey, Partition};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
@@ -13,7 +15,7 @@
 const SEED: u64 = 1;
 
 /// Kinds of frames that the generator knows.
-const KINDS: usize = 21;
+const KINDS: usize = 22;
 
 /// The first kind that concerns tasks or jobs.
 const FIRST_TASK_KIND: usize = 7;
@@ -146,7 +148,8 @@
             asked: list(g, agent),
             heard: list(g, agent),
         },
-        _ => Frame::Drain,
+        20 => Frame::Drain,
+        _ => Frame::Pool(pool::frame(g)),
     }
 }
 
--- /dev/null
+++ b/crates/masticcross-wire/src/codec/tests/pool.rs
@@ -0,0 +1,121 @@
+//! Generated messages about tasks with resources.
+
+use masticcross_basics::Name;
+use quickcheck::{Arbitrary, Gen};
+
+use super::list;
+use crate::frame::NotStartedReason;
+use crate::pool::{
+    EntryAddr, FreeRoom, OperatorView, PoolFrame, Queue, Resume, Room, RunEnd, RunId, RunOrder,
+    RunResult, TaskId, WorkerInfo,
+};
+
+/// Generates a message of any kind.
+pub fn frame(g: &mut Gen) -> PoolFrame {
+    match u8::arbitrary(g) % 10 {
+        0 => PoolFrame::Probe(u64::arbitrary(g)),
+        1 => PoolFrame::Echo(u64::arbitrary(g)),
+        2 => PoolFrame::View(Box::new(view(g))),
+        3 => PoolFrame::Entries(list(g, |g| EntryAddr {
+            name: name(g),
+            addr: ([10, 0, 0, u8::arbitrary(g)], u16::arbitrary(g)).into(),
+        })),
+        4 => PoolFrame::Worker(bool::arbitrary(g).then(|| worker(g))),
+        5 => PoolFrame::Free(FreeRoom {
+            room: room(g),
+            orders_seen: u64::arbitrary(g),
+        }),
+        6 => PoolFrame::Resume(Resume {
+            entry: u64::arbitrary(g),
+            running: list(g, run),
+            ended: list(g, end),
+            complete: bool::arbitrary(g),
+        }),
+        7 => PoolFrame::Run(list(g, order)),
+        8 => PoolFrame::Stop(list(g, run)),
+        _ => PoolFrame::Ended(list(g, end)),
+    }
+}
+
+fn view(g: &mut Gen) -> OperatorView {
+    OperatorView {
+        position: u64::arbitrary(g),
+        config_version: u64::arbitrary(g),
+        queues: list(g, queue),
+        services: list(g, name).into_iter().collect(),
+        max_body_bytes: usize::arbitrary(g),
+        zones_out: list(g, name).into_iter().collect(),
+    }
+}
+
+fn queue(g: &mut Gen) -> Queue {
+    Queue {
+        name: name(g),
+        host: name(g),
+        path_prefix: name(g),
+        service: name(g),
+        priority: u32::arbitrary(g),
+        max_attempts: u32::arbitrary(g),
+        stretch: f64::from(u16::arbitrary(g)) / 8.0,
+        latency_target_ms: u32::arbitrary(g),
+    }
+}
+
+fn worker(g: &mut Gen) -> WorkerInfo {
+    WorkerInfo {
+        service: name(g),
+        zone: name(g),
+        labels: list(g, name).into(),
+        capacity: room(g),
+        leaving: bool::arbitrary(g),
+    }
+}
+
+fn order(g: &mut Gen) -> RunOrder {
+    RunOrder {
+        id: run(g),
+        room: room(g),
+        spec: name(g),
+        expected_ms: u32::arbitrary(g),
+        late: bool::arbitrary(g),
+    }
+}
+
+fn end(g: &mut Gen) -> RunEnd {
+    let results = [
+        RunResult::Done,
+        RunResult::Failed,
+        RunResult::Stopped,
+        RunResult::Lost,
+        RunResult::Stuck,
+        RunResult::NotStarted(NotStartedReason::NoRoom),
+    ];
+    RunEnd {
+        id: run(g),
+        result: *g.choose(&results).expect("there are some"),
+        took_ms: u32::arbitrary(g),
+    }
+}
+
+fn run(g: &mut Gen) -> RunId {
+    RunId {
+        task: TaskId {
+            job: name(g),
+            step: u16::arbitrary(g),
+            index: u16::arbitrary(g),
+        },
+        run: u32::arbitrary(g),
+    }
+}
+
+fn room(g: &mut Gen) -> Room {
+    Room {
+        cpu: u64::arbitrary(g),
+        memory_mb: u64::arbitrary(g),
+        gpus: u64::arbitrary(g),
+    }
+}
+
+fn name(g: &mut Gen) -> Name {
+    String::arbitrary(g).into()
+}
--- a/crates/masticcross-wire/src/kind.rs
+++ b/crates/masticcross-wire/src/kind.rs
@@ -1,6 +1,6 @@
-//! Names of the kinds of frames.
+//! Names of the kinds of frames and reasons, for logs and metrics.
 
-use crate::frame::Frame;
+use crate::frame::{Frame, NotStartedReason};
 
 impl Frame {
     /// Names the kind for logs and metrics.
@@ -32,3 +32,22 @@
         }
     }
 }
+
+impl NotStartedReason {
+    /// Names the reason for logs and metrics.
+    #[must_use]
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::ViewStale => "view_stale",
+            Self::OldEpoch => "old_epoch",
+            Self::ZoneOut => "zone_out",
+            Self::NoBackend => "no_backend",
+            Self::NoRoom => "no_room",
+            Self::ShuttingDown => "shutting_down",
+            Self::Stopped => "stopped",
+            Self::DeadlinePassed => "deadline_passed",
+            Self::ConnectFailed => "connect_failed",
+            Self::AlreadyKnown => "already_known",
+        }
+    }
+}
--- a/crates/masticcross-wire/src/pool.rs
+++ b/crates/masticcross-wire/src/pool.rs
@@ -95,6 +95,8 @@
     pub room: Room,
     /// What the task is to do.
     pub spec: Name,
+    /// Run time that the caller expects, in milliseconds.
+    pub expected_ms: u32,
     /// True if the job will be late whatever happens. Such runs only use room that nobody else wants.
     pub late: bool,
 }
@@ -110,7 +112,7 @@
     Stopped,
     /// The run ended with its worker, or its lease lapsed.
     Lost,
-    /// The run made no progress and was stopped.
+    /// The run made hardly any progress and was stopped.
     Stuck,
     /// The run never started and never will.
     NotStarted(NotStartedReason),
