Explain jobs by logs; name the lack of room for the rest of a begun job

Change: one line a job with its first run, its runs and their faults; `masticcross explain` joins the logs and names the cause; such jobs are given up with code 2001; refusals for room are counted, and logged at debug level.

--- a/crates/masticcross-jobs/src/entry.rs
+++ b/crates/masticcross-jobs/src/entry.rs
@@ -82,9 +82,16 @@
     /// Runs a job and returns how it ended. A job whose callers have all left is stopped.
     pub async fn submit(self: &Arc<Self>, request: JobRequest) -> JobOutcome {
         let arrived = Instant::now();
+        let (job, queue) = (request.id.clone(), request.queue.clone());
         let outcome = match self.enter(request) {
             Ok(waiting) => waiting.outcome().await,
-            Err(refusal) => JobOutcome::Refused(refusal),
+            Err(refusal) => {
+                log::info!(
+                    job:%, queue:%, code = refusal.code.number(), detail = refusal.detail;
+                    "job refused"
+                );
+                JobOutcome::Refused(refusal)
+            }
         };
         self.metrics.answered(&outcome, arrived.elapsed());
         outcome
@@ -99,9 +106,9 @@
 
     /// Cancels a job. Returns false if it is not here.
     pub fn cancel(&self, id: &str) -> bool {
-        self.with_state(|state, _| match state.scheduler.find(id) {
+        self.with_state(|state, now| match state.scheduler.find(id) {
             Some((number, _)) => {
-                state.scheduler.cancel(number);
+                state.scheduler.cancel(number, now);
                 state.callers.remove(&number);
                 true
             }
@@ -177,16 +184,15 @@
     }
 
     fn caller_left(&self, number: JobNumber) {
-        self.with_state(|state, _| {
+        self.with_state(|state, now| {
             let Some(callers) = state.callers.get_mut(&number) else {
                 return;
             };
             callers.retain(|tx| !tx.is_closed());
             if callers.is_empty() {
                 self.metrics.callers_left();
-                log::info!(number; "job stopped: its callers have left");
                 state.callers.remove(&number);
-                state.scheduler.cancel(number);
+                state.scheduler.cancel(number, now);
             }
         });
     }
--- a/crates/masticcross-jobs/src/scheduler/ends.rs
+++ b/crates/masticcross-jobs/src/scheduler/ends.rs
@@ -110,11 +110,19 @@
         if let Some(worker) = self.workers.get_mut(name) {
             worker.running = worker.running.saturating_sub(1);
         }
-        if !matches!(end.result, RunResult::NotStarted(_)) {
-            self.jobs.entry(number).and_modify(|job| job.ran = true);
-        }
-        if end.result != RunResult::Done {
-            log::info!(run:% = end.id, worker:% = name, result:? = end.result, took_ms = end.took_ms; "run ended");
+        let started = !matches!(end.result, RunResult::NotStarted(_));
+        self.jobs.entry(number).and_modify(|job| {
+            job.ran |= started;
+            job.bad_runs += u32::from(started && end.result != RunResult::Done);
+        });
+        if end.result == RunResult::NotStarted(NotStartedReason::NoRoom) {
+            // Under overload there are too many of these for the log; metrics count them.
+            log::debug!(run:% = end.id, worker:% = name; "run refused for lack of room");
+        } else if end.result != RunResult::Done {
+            log::info!(
+                run:% = end.id, worker:% = name, result:? = end.result, took_ms = end.took_ms;
+                "run ended"
+            );
         }
         match end.result {
             RunResult::Done => self.task_done(number, pos, name, end, now),
@@ -146,7 +154,7 @@
             worker.health.succeeded(now);
         }
         if all_done {
-            self.end_job(number, JobOutcome::Completed);
+            self.end_job(number, JobOutcome::Completed, now);
         }
     }
 
@@ -172,7 +180,7 @@
             }
         }
         if given_up {
-            self.end_job(number, JobOutcome::Failed);
+            self.end_job(number, JobOutcome::Failed, now);
         }
     }
 
--- a/crates/masticcross-jobs/src/scheduler/mod.rs
+++ b/crates/masticcross-jobs/src/scheduler/mod.rs
@@ -31,7 +31,7 @@
 use crate::job::{JobOutcome, JobRequest};
 use crate::runtime::RunTimes;
 
-use table::{Job, JobNumber, TaskPos, TaskState};
+use table::{Job, JobNumber, TaskPos, TaskState, Urgency};
 use worker::Worker;
 
 /// Number of a session, unique in this process.
@@ -64,9 +64,9 @@
     pub workers: usize,
 }
 
-/// Order of jobs that wait, the lowest first: late ones last, then by urgency, then by the latest
-/// start at which they would be in time.
-type Rank = (bool, u32, Instant, JobNumber);
+/// Order of jobs that wait, the lowest first: by urgency, then by the latest start at which they would
+/// be in time.
+type Rank = (Urgency, Instant, JobNumber);
 
 /// The decisions of an entry.
 pub struct Scheduler {
@@ -167,7 +167,10 @@
     }
 
     /// Ends a job whose callers have left.
-    pub fn cancel(&mut self, number: JobNumber) {
+    pub fn cancel(&mut self, number: JobNumber, now: Instant) {
+        if let Some(job) = self.jobs.get(&number) {
+            log_end(job, "stopped", 0, now);
+        }
         self.remove_job(number);
     }
 
@@ -309,15 +312,8 @@
         if !job.tasks().any(|(_, t)| t.state == TaskState::Waiting) {
             return;
         }
-        let late = job.is_late(now);
         let latest_start = job.latest_start().unwrap_or(now);
-        // A job that has begun goes first: its other tasks are of no use without these.
-        let urgency = if job.may_have_run() {
-            0
-        } else {
-            job.queue.priority.saturating_add(1)
-        };
-        let rank = (late, urgency, latest_start, number);
+        let rank = (job.urgency(now), latest_start, number);
         self.waiting.insert(rank);
         self.ranks.insert(number, rank);
     }
@@ -339,6 +335,7 @@
             if let TaskState::Unreachable(worker, _) = &task.state {
                 let worker = worker.clone();
                 job.ran = true;
+                job.bad_runs += 1;
                 log::info!(job:% = job.request.id, worker:%; "run is lost with its agent");
                 self.workers.entry(worker).and_modify(|w| {
                     w.running = w.running.saturating_sub(1);
@@ -348,10 +345,9 @@
                 task.state = TaskState::Waiting;
             }
         }
-        let late = self
-            .ranks
-            .get(&number)
-            .is_some_and(|(late, _, at, _)| !*late && *at < now);
+        let in_time = |rank: &Rank| matches!(rank.0, Urgency::InTime(_));
+        let rank = self.ranks.get(&number);
+        let late = rank.is_some_and(|rank| in_time(rank) && rank.1 < now);
         if !due.is_empty() || late {
             self.rank(number, now);
         }
@@ -375,11 +371,16 @@
         } else if let Some(earliest) = earliest_end(job, now)
             && earliest > job.useful_until()
         {
-            give_up(
-                job,
-                Code::WorkerLost,
-                "a task was lost and cannot be repeated in time",
-            )
+            if job.has_lost_runs() {
+                give_up(
+                    job,
+                    Code::WorkerLost,
+                    "a lost run cannot be repeated in time",
+                )
+            } else {
+                let detail = "no worker has room for the rest of the job in time";
+                give_up(job, Code::Overloaded, detail)
+            }
         } else {
             return;
         };
@@ -393,7 +394,7 @@
             jobs_waiting = self.waiting.len(), outcome:?;
             "job given up"
         );
-        self.end_job(number, outcome);
+        self.end_job(number, outcome, now);
     }
 
     /// Returns true if a worker of a service can be used.
@@ -403,7 +404,18 @@
     }
 
     /// Ends a job: answers its callers and stops what runs.
-    fn end_job(&mut self, number: JobNumber, outcome: JobOutcome) {
+    fn end_job(&mut self, number: JobNumber, outcome: JobOutcome, now: Instant) {
+        if let Some(job) = self.jobs.get(&number) {
+            let (label, code) = match &outcome {
+                JobOutcome::Completed => ("completed", 0),
+                JobOutcome::Failed => ("failed", 0),
+                JobOutcome::Refused(refusal) if refusal.not_run => {
+                    ("not_run", refusal.code.number())
+                }
+                JobOutcome::Refused(refusal) => ("given_up", refusal.code.number()),
+            };
+            log_end(job, label, code, now);
+        }
         self.effects.push(Effect::Answer(number, outcome));
         self.remove_job(number);
     }
@@ -434,6 +446,18 @@
     }
 }
 
+/// Logs the end of a job with what led to it.
+fn log_end(job: &Job, outcome: &str, code: u16, now: Instant) {
+    let ms_after = |at: Instant| at.saturating_duration_since(job.arrived).as_millis();
+    let first_run_ms = job.first_sent.map_or(0, ms_after);
+    log::info!(
+        job:% = job.request.id, queue:% = job.queue.name, outcome, code, took_ms = ms_after(now),
+        objective_ms = job.objective.as_millis(), first_run_ms, runs = job.runs,
+        bad_runs = job.bad_runs;
+        "job ended"
+    );
+}
+
 /// Returns when a job can end at the earliest if tasks of it wait for something else than room.
 fn earliest_end(job: &Job, now: Instant) -> Option<Instant> {
     let expected = |pos: TaskPos| Duration::from_millis(job.step(pos).expected_ms.into());
--- a/crates/masticcross-jobs/src/scheduler/placement.rs
+++ b/crates/masticcross-jobs/src/scheduler/placement.rs
@@ -6,7 +6,7 @@
 use masticcross_wire::pool::{PoolFrame, Room, RunOrder, WorkerInfo};
 use tokio::time::Instant;
 
-use super::table::{Job, JobNumber, TaskPos, TaskState};
+use super::table::{Job, JobNumber, TaskPos, TaskState, Urgency};
 use super::{Effect, Scheduler};
 
 /// Jobs passed over for lack of room before the search ends.
@@ -32,7 +32,7 @@
         let mut candidates = self.candidates(now);
         let mut orders: BTreeMap<Name, Vec<RunOrder>> = BTreeMap::new();
         let mut passed_over = 0;
-        let numbers: Vec<JobNumber> = self.waiting.iter().map(|rank| rank.3).collect();
+        let numbers: Vec<JobNumber> = self.waiting.iter().map(|rank| rank.2).collect();
         for number in numbers {
             if candidates.is_empty() || passed_over >= MAX_PASSED_OVER {
                 break;
@@ -62,14 +62,13 @@
         let Some(job) = self.jobs.get(&number) else {
             return true;
         };
-        let late = self.ranks.get(&number).is_some_and(|rank| rank.0);
         for pos in job.waiting() {
             let Some(chosen) = self.choose(number, pos, candidates) else {
                 return false;
             };
             let candidate = &mut candidates[chosen];
             let name = candidate.name.clone();
-            let Some(order) = self.send(number, pos, &name, late) else {
+            let Some(order) = self.send(number, pos, &name, now) else {
                 continue;
             };
             candidate.free = candidate.free.minus(order.room);
@@ -136,13 +135,17 @@
         number: JobNumber,
         pos: TaskPos,
         worker: &Name,
-        late: bool,
+        now: Instant,
     ) -> Option<RunOrder> {
+        let rank = self.ranks.get(&number);
+        let late = rank.is_some_and(|rank| rank.0 == Urgency::Late);
         let job = self.jobs.get_mut(&number)?;
         let task = job.task_mut(pos)?;
         task.run += 1;
         task.state = TaskState::Running(worker.clone());
         let run = task.run;
+        job.runs += 1;
+        job.first_sent.get_or_insert(now);
         let step = job.step(pos);
         let order = RunOrder {
             id: job.run_id(pos, run),
--- a/crates/masticcross-jobs/src/scheduler/table.rs
+++ b/crates/masticcross-jobs/src/scheduler/table.rs
@@ -22,6 +22,17 @@
 /// that its caller has the other half for something else.
 const PATIENCE: f64 = 0.45;
 
+/// How much a job's tasks matter against those of others, the most urgent first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Urgency {
+    /// Other tasks of the job have begun, which is of no use without the rest.
+    Begun,
+    /// The job can be in time; the number is its queue's priority.
+    InTime(u32),
+    /// The job will be late whatever happens.
+    Late,
+}
+
 /// Where a task is.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum TaskState {
@@ -65,6 +76,12 @@
     pub objective: Duration,
     /// True once a run has ended that may have started.
     pub ran: bool,
+    /// When the first run was sent.
+    pub first_sent: Option<Instant>,
+    /// Runs sent.
+    pub runs: u32,
+    /// Runs that were lost, stuck or failed.
+    pub bad_runs: u32,
     tasks: Vec<Vec<Task>>,
     open: usize,
 }
@@ -84,6 +101,9 @@
             arrived,
             objective,
             ran: false,
+            first_sent: None,
+            runs: 0,
+            bad_runs: 0,
             tasks,
             open,
         }
@@ -155,6 +175,13 @@
         self.ran || self.tasks().any(|(_, task)| placed(task))
     }
 
+    /// Returns true if a run was lost, stuck or failed, or cannot be reached.
+    #[must_use]
+    pub fn has_lost_runs(&self) -> bool {
+        let is_unreachable = |task: &Task| matches!(task.state, TaskState::Unreachable(..));
+        self.bad_runs > 0 || self.tasks().any(|(_, task)| is_unreachable(task))
+    }
+
     /// Names a run of a task.
     #[must_use]
     pub fn run_id(&self, pos: TaskPos, run: u32) -> RunId {
@@ -198,6 +225,18 @@
         self.latest_start().is_none_or(|start| start < now) && !self.may_have_run()
     }
 
+    /// Returns how much the job's tasks matter against others.
+    #[must_use]
+    pub fn urgency(&self, now: Instant) -> Urgency {
+        if self.may_have_run() {
+            Urgency::Begun
+        } else if self.is_late(now) {
+            Urgency::Late
+        } else {
+            Urgency::InTime(self.queue.priority)
+        }
+    }
+
     /// Returns until when an answer is of any use.
     #[must_use]
     pub fn useful_until(&self) -> Instant {
--- a/crates/masticcross-jobs/src/scheduler/tests.rs
+++ b/crates/masticcross-jobs/src/scheduler/tests.rs
@@ -290,6 +290,13 @@
         assert_eq!(b.refusal(), (Code::NoBackend, true));
     };
 
+    a_begun_job_without_room_for_the_rest_is_given_up_as_such => |_| {
+        let mut b = Bench::with_worker(2);
+        b.submit(b.job("a", smallvec![tasks(2, 2)]));
+        b.pass(SECOND);
+        assert_eq!((b.refusal(), b.stopped.len()), ((Code::Overloaded, false), 1));
+    };
+
     a_job_that_may_have_run_is_never_said_not_to_have_run => |_| {
         let mut b = Bench::with_worker(8);
         b.submit(b.job("a", smallvec![tasks(1, 2)]));
@@ -488,7 +495,7 @@
     a_cancelled_job_is_stopped => |_| {
         let mut b = Bench::with_worker(8);
         let number = b.submit(b.job("a", smallvec![tasks(2, 2)]));
-        b.step(|s, _| s.cancel(number));
+        b.step(|s, now| s.cancel(number, now));
         let sent: Vec<RunId> = b.sent.iter().map(|(_, order)| order.id.clone()).collect();
         assert_eq!(b.stopped, sent);
         b.end_all(RunResult::Stopped);
@@ -529,7 +536,8 @@
             b.end(session, &order.id, RunResult::Done);
             b.free(1, 2, seen);
         }
-        let sent: Vec<(&str, bool)> = b.sent.iter().map(|(_, o)| (&*o.id.task.job, o.late)).collect();
+        let sent = b.sent.iter().map(|(_, o)| (&*o.id.task.job, o.late));
+        let sent: Vec<(&str, bool)> = sent.collect();
         assert_eq!(sent, vec![("holder", false), ("fresh", false), ("late", true)]);
     };
 
--- a/crates/masticcross-timeline/src/lib.rs
+++ b/crates/masticcross-timeline/src/lib.rs
@@ -1,4 +1,4 @@
-//! Merging, filtering and drawing of the time lines of all processes.
+//! Merging, filtering and drawing of the time lines of all processes, and explaining of jobs by logs.
 //!
 //! ```
 //! use masticcross_basics::timeline::{Event, EventKind};
@@ -10,6 +10,7 @@
 //! assert!(text::line(kept[0]).contains("joined"));
 //! ```
 
+pub mod explain;
 pub mod filter;
 pub mod kind;
 pub mod picture;
--- /dev/null
+++ b/src/cmd/explain.rs
@@ -0,0 +1,94 @@
+//! `masticcross explain`: why jobs were late or lost, by the logs of all processes.
+
+use std::io::Read;
+use std::path::PathBuf;
+
+use bpaf::{Parser, construct, long, positional};
+use eyre::{Result, WrapErr, eyre};
+use masticcross_timeline::explain::{Cause, LogLine, count_causes, lines_about};
+
+use super::Command;
+
+/// Fields of a line that are shown in places of their own.
+const SHOWN_FIRST: [&str; 4] = ["time", "message", "level", "target"];
+
+/// Arguments of the command.
+#[derive(Debug, Clone)]
+pub struct Args {
+    job: Option<String>,
+    files: Vec<PathBuf>,
+}
+
+/// Returns the parser of the command.
+pub fn command() -> impl Parser<Command> {
+    let job = long("job")
+        .help("show the lines about this job and the cause of its end")
+        .argument::<String>("ID")
+        .optional();
+    let files = positional::<PathBuf>("FILE")
+        .help("logs of all processes as JSON lines; standard input if none is named")
+        .many();
+    construct!(Args { job, files })
+        .to_options()
+        .descr("Tell from logs why jobs were late or lost")
+        .command("explain")
+        .help("Tell from logs why jobs were late or lost")
+        .map(Command::Explain)
+}
+
+/// Explains one job, or counts all jobs by cause.
+///
+/// # Errors
+/// Fails if a log cannot be read, or says nothing of the job.
+pub fn execute(args: &Args) -> Result<()> {
+    let text = read(&args.files)?;
+    let lines: Vec<LogLine> = text.lines().filter_map(LogLine::parse).collect();
+    if let Some(job) = &args.job {
+        return explain(&lines, job);
+    }
+    for (cause, jobs) in count_causes(&lines) {
+        println!("{jobs:>8}  {}", cause.label());
+    }
+    Ok(())
+}
+
+fn explain(lines: &[LogLine], job: &str) -> Result<()> {
+    let found = lines_about(lines, job);
+    if found.is_empty() {
+        return Err(eyre!(
+            "no line is about job {job}; are the logs of all entries here?"
+        ));
+    }
+    for line in &found {
+        println!("{}", shown(line));
+    }
+    match found.iter().rev().find_map(|line| Cause::of(line)) {
+        Some(cause) => println!("cause: {}", cause.label()),
+        None => println!("cause: the entry ended before the job did"),
+    }
+    Ok(())
+}
+
+fn shown(line: &LogLine) -> String {
+    let (time, message) = (line.field("time"), line.field("message"));
+    let rest = line.fields.iter();
+    let rest = rest.filter(|(name, _)| !SHOWN_FIRST.contains(&name.as_str()));
+    let rest: Vec<String> = rest
+        .map(|(name, value)| format!("{name}={value}"))
+        .collect();
+    format!("{time} {} {message}: {}", line.source, rest.join(" "))
+}
+
+fn read(files: &[PathBuf]) -> Result<String> {
+    let mut text = String::new();
+    if files.is_empty() {
+        let read = std::io::stdin().read_to_string(&mut text);
+        read.wrap_err("cannot read standard input")?;
+    }
+    for file in files {
+        let read = std::fs::read_to_string(file);
+        text.push_str(&read.wrap_err_with(|| format!("cannot read {}", file.display()))?);
+        text.push('\n');
+    }
+    Ok(text)
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod check;
 pub mod demo;
+pub mod explain;
 pub mod load;
 pub mod publish;
 pub mod serve;
@@ -34,6 +35,8 @@
     Status(status::Args),
     /// Show the events of all processes in one order.
     Timeline(timeline::Args),
+    /// Tell from logs why jobs were late or lost.
+    Explain(explain::Args),
 }
 
 impl Command {
@@ -53,6 +56,7 @@
             Self::Restore(args) => publish::execute_zone(&args, true),
             Self::Status(args) => status::execute(&args),
             Self::Timeline(args) => timeline::execute(&args),
+            Self::Explain(args) => explain::execute(&args),
         }
     }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -52,7 +52,8 @@
     let restore = cmd::publish::restore_command();
     let status = cmd::status::command();
     let timeline = cmd::timeline::command();
+    let explain = cmd::explain::command();
     construct!([
-        serve, demo, load, check, diff, publish, drain, restore, status, timeline
+        serve, demo, load, check, diff, publish, drain, restore, status, timeline, explain
     ])
 }
