Split the agent's driver, the keeper and the scheduler; take over new seeds when settings are read again

Change: agent into calls and sessions, keeper's telling, scheduler's closing; nothing else moves. The agent dials new seeds.

--- /dev/null
+++ b/crates/masticcross-jobs/src/agent/calls.rs
@@ -0,0 +1,119 @@
+//! Starts, stops and looks at the worker.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::keeper::{LOOK_WAIT, START_TIMEOUT};
+use crate::worker_client::{CallError, LookCall, StartCall, StopCall};
+
+use super::{Agent, TICK};
+
+/// Time beyond the worker's wait after which a look counts as unanswered.
+const LOOK_SLACK: Duration = Duration::from_millis(60);
+
+/// Time after an unanswered look in which two looks wait at the worker, so that an end is seen at
+/// once though one of them is lost.
+const DOUBLE_LOOKS: Duration = Duration::from_secs(3);
+
+/// Time after which a stop counts as unanswered.
+const STOP_TIMEOUT: Duration = Duration::from_millis(60);
+
+/// Pause of the looks while there is no worker.
+const NO_WORKER_PAUSE: Duration = Duration::from_millis(50);
+
+impl Agent {
+    pub(super) async fn start(self: Arc<Self>, call: StartCall) {
+        let sent_at = Instant::now();
+        let answer = timeout(START_TIMEOUT, self.client.start(call.clone())).await;
+        let answer = answer.unwrap_or_else(|_| Err(no_answer()));
+        match &answer {
+            Ok(_) => self.metrics.start_answered(sent_at.elapsed()),
+            Err(_) => self.metrics.unanswered("start"),
+        }
+        self.with_keeper(|keeper, now| keeper.started(&call, answer, now));
+    }
+
+    pub(super) async fn stop(self: Arc<Self>, call: StopCall) {
+        let run = call.run.clone();
+        match timeout(STOP_TIMEOUT, self.client.stop(call)).await {
+            Ok(Ok(())) => {}
+            Ok(Err(error)) => log::info!(run:%, error:%; "run could not be stopped yet"),
+            Err(_) => log::info!(run:%; "stop not answered"),
+        }
+    }
+
+    pub(super) async fn recall_worker(self: Arc<Self>) {
+        if let Some(report) = self.memory.recall().await {
+            self.with_keeper(|keeper, _| keeper.worker_recalled(report));
+            self.worker_changed.notify_one();
+        }
+    }
+
+    pub(super) async fn look_once(self: Arc<Self>) {
+        let call = self.with_keeper(|keeper, now| keeper.next_look(0, Duration::ZERO, now));
+        if let Some(call) = call {
+            self.look(call).await;
+        }
+    }
+
+    /// Looks at the worker. Returns false if it did not answer.
+    async fn look(self: &Arc<Self>, call: LookCall) -> bool {
+        let wait = Duration::from_millis(call.wait_ms) + LOOK_SLACK;
+        let answer = timeout(wait, self.client.look(call.clone())).await;
+        let answer = answer.unwrap_or_else(|_| Err(no_answer()));
+        let answered = !matches!(answer, Err(CallError::NoAnswer(_)));
+        if !answered {
+            self.metrics.unanswered("look");
+            *self.missed_look.lock() = Some(Instant::now());
+        }
+        self.with_keeper(|keeper, now| keeper.looked(&call, answer, now));
+        answered
+    }
+
+    /// Looks again and again, which also extends the lease.
+    pub(super) async fn keep_looking(self: Arc<Self>) {
+        let mut missed = 0;
+        loop {
+            let wait = if missed == 0 {
+                LOOK_WAIT
+            } else {
+                Duration::ZERO
+            };
+            let call = self.with_keeper(|keeper, now| {
+                keeper.tick(now);
+                keeper.next_look(missed, wait, now)
+            });
+            let Some(call) = call else {
+                missed = 0;
+                // A report of the worker ends the pause.
+                let _ = timeout(NO_WORKER_PAUSE, self.worker_changed.notified()).await;
+                continue;
+            };
+            missed = if self.look(call).await { 0 } else { missed + 1 };
+        }
+    }
+
+    /// Looks a second time beside [`Self::keep_looking`] while looks are lost.
+    pub(super) async fn keep_looking_twice(self: Arc<Self>) {
+        loop {
+            let missed = *self.missed_look.lock();
+            if missed.is_none_or(|at| at.elapsed() > DOUBLE_LOOKS) {
+                sleep(TICK).await;
+                continue;
+            }
+            let call = self.with_keeper(|keeper, now| keeper.next_look(0, LOOK_WAIT, now));
+            match call {
+                Some(call) => {
+                    self.look(call).await;
+                }
+                None => sleep(TICK).await,
+            }
+        }
+    }
+}
+
+fn no_answer() -> CallError {
+    CallError::NoAnswer("timed out".to_owned())
+}
--- /dev/null
+++ b/crates/masticcross-jobs/src/agent/mod.rs
@@ -0,0 +1,209 @@
+//! The agent of a worker: carries out what the keeper decides.
+//!
+//! - `calls`: starts, stops and looks at the worker.
+//! - `sessions`: sessions with all entries.
+
+mod calls;
+mod sessions;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use masticcross_basics::Name;
+use masticcross_wire::pool::{EntryAddr, PoolFrame};
+use masticcross_wire::{Dialer, Frame, Incarnation};
+use parking_lot::Mutex;
+use tokio::sync::{Notify, mpsc};
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
+
+use crate::keeper::{Effect, Keeper, SessionId, WorkerReport};
+use crate::metrics::{self, AgentMetrics};
+use crate::worker_client::WorkerClient;
+use crate::worker_memory::WorkerMemory;
+
+/// Interval of the decisions that depend on time alone.
+const TICK: Duration = Duration::from_millis(20);
+
+/// Longest wait for what runs when the agent closes.
+const CLOSE_LIMIT: Duration = Duration::from_secs(5);
+
+/// Who an agent is.
+#[derive(Debug, Clone)]
+pub struct AgentIdentity {
+    /// Name of the agent.
+    pub name: Name,
+    /// Availability zone.
+    pub zone: Name,
+    /// Start of the process.
+    pub incarnation: Incarnation,
+}
+
+/// A running agent.
+pub struct Agent {
+    identity: AgentIdentity,
+    keeper: Mutex<Keeper>,
+    outlets: Mutex<BTreeMap<SessionId, mpsc::Sender<Frame>>>,
+    metrics: AgentMetrics,
+    client: Arc<dyn WorkerClient>,
+    memory: Arc<dyn WorkerMemory>,
+    dialer: Arc<dyn Dialer>,
+    next_session: Mutex<SessionId>,
+    seeds: Mutex<Vec<SocketAddr>>,
+    entries_changed: Notify,
+    worker_changed: Notify,
+    missed_look: Mutex<Option<Instant>>,
+}
+
+impl Agent {
+    /// Creates an agent. `lease` is the longest lease that the worker grants, `unix_ms` the time of
+    /// day.
+    ///
+    /// # Errors
+    /// Fails if a metric's name is registered twice.
+    pub fn new(
+        identity: AgentIdentity,
+        lease: Duration,
+        unix_ms: u64,
+        client: Arc<dyn WorkerClient>,
+        memory: Arc<dyn WorkerMemory>,
+        dialer: Arc<dyn Dialer>,
+    ) -> metrics::Result<Arc<Self>> {
+        Ok(Arc::new(Self {
+            metrics: AgentMetrics::new()?,
+            identity,
+            keeper: Mutex::new(Keeper::new(lease, unix_ms, Instant::now())),
+            outlets: Mutex::default(),
+            client,
+            memory,
+            dialer,
+            next_session: Mutex::new(0),
+            seeds: Mutex::default(),
+            entries_changed: Notify::new(),
+            worker_changed: Notify::new(),
+            missed_look: Mutex::new(None),
+        }))
+    }
+
+    /// Writes all metrics in the text format.
+    #[must_use]
+    pub fn metrics_text(&self) -> String {
+        let levels = self.keeper.lock().levels(Instant::now());
+        self.metrics.text(levels)
+    }
+
+    /// Takes over the addresses at which entries may listen.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        *self.seeds.lock() = seeds;
+        self.entries_changed.notify_one();
+    }
+
+    /// Serves until the process ends.
+    pub async fn run(self: Arc<Self>) {
+        tokio::join!(
+            self.clone().recall_worker(),
+            self.clone().keep_sessions(),
+            self.clone().keep_looking(),
+            self.clone().keep_looking_twice(),
+            self.clone().keep_time(),
+        );
+    }
+
+    /// Takes over what the worker says of itself. Returns false if it is out of date.
+    pub fn worker_reported(self: &Arc<Self>, report: WorkerReport) -> bool {
+        let accepted = self.with_keeper(|keeper, now| keeper.worker_reported(report, now));
+        self.worker_changed.notify_one();
+        accepted
+    }
+
+    /// Notes that the worker has ended in order.
+    pub fn worker_left(self: &Arc<Self>, id: &str) {
+        self.with_keeper(|keeper, now| keeper.worker_left(id, now));
+    }
+
+    /// Takes over addresses of entries.
+    pub fn learn_entries(self: &Arc<Self>, entries: &[EntryAddr]) {
+        if self.with_keeper(|keeper, _| keeper.learn_entries(entries)) {
+            self.entries_changed.notify_one();
+        }
+    }
+
+    /// Returns true while a session with an entry is open.
+    #[must_use]
+    pub fn has_session(&self) -> bool {
+        !self.outlets.lock().is_empty()
+    }
+
+    /// Calls the decisions and carries out what they leave.
+    pub fn with_keeper<T>(self: &Arc<Self>, f: impl FnOnce(&mut Keeper, Instant) -> T) -> T {
+        let (result, effects) = {
+            let mut keeper = self.keeper.lock();
+            let result = f(&mut keeper, Instant::now());
+            (result, keeper.take_effects())
+        };
+        for effect in effects {
+            self.carry_out(effect);
+        }
+        result
+    }
+
+    /// Takes nothing new and waits until what runs has ended.
+    pub async fn close(self: Arc<Self>) {
+        self.with_keeper(Keeper::close);
+        let idle = async {
+            while !self.keeper.lock().is_idle() {
+                sleep(TICK).await;
+            }
+        };
+        if timeout(CLOSE_LIMIT, idle).await.is_err() {
+            log::warn!(agent:% = self.identity.name; "runs left at the end of the close limit");
+        }
+        // The last ends are on their way to the entries.
+        sleep(TICK).await;
+    }
+
+    fn carry_out(self: &Arc<Self>, effect: Effect) {
+        match effect {
+            Effect::Send(session, frame) => {
+                if let PoolFrame::Ended(ends) = &frame {
+                    self.metrics.runs_ended(ends);
+                }
+                self.send(session, frame);
+            }
+            Effect::Start(call) => {
+                tokio::spawn(self.clone().start(call));
+            }
+            Effect::Stop(call) => {
+                tokio::spawn(self.clone().stop(call));
+            }
+            Effect::Look => {
+                tokio::spawn(self.clone().look_once());
+            }
+            Effect::Remember(report) => {
+                let memory = self.memory.clone();
+                tokio::spawn(async move { memory.remember(report).await });
+            }
+        }
+    }
+
+    fn send(&self, session: SessionId, frame: PoolFrame) {
+        let mut outlets = self.outlets.lock();
+        let Some(tx) = outlets.get(&session) else {
+            return;
+        };
+        if tx.try_send(Frame::Pool(frame)).is_err() {
+            log::warn!(session; "session dropped: its queue is full or closed");
+            outlets.remove(&session);
+        }
+    }
+
+    async fn keep_time(self: Arc<Self>) {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            self.with_keeper(Keeper::tick);
+        }
+    }
+}
--- /dev/null
+++ b/crates/masticcross-jobs/src/agent/sessions.rs
@@ -0,0 +1,171 @@
+//! Sessions with all entries that are known.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use masticcross_wire::pool::PoolFrame;
+use masticcross_wire::{Frame, Hello, Link, PROTOCOL_VERSION, Role};
+use tokio::task::JoinSet;
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
+
+use crate::keeper::SessionId;
+use crate::keeper::clients::ClientId;
+
+use super::Agent;
+
+/// Interval of probes on a session.
+const PROBE_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Silence after which a session is closed.
+const SESSION_SILENCE: Duration = Duration::from_millis(600);
+
+/// Longest wait for an entry's first frame. The opening packet to a machine that is down is sent
+/// again only after a second or more, so that a new dial finds a returned machine sooner.
+const HELLO_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Pause after a failed dial; it doubles up to the greatest.
+const FIRST_REDIAL: Duration = Duration::from_millis(25);
+const MAX_REDIAL: Duration = Duration::from_millis(100);
+
+/// Time after which an address at which nothing was ever heard is not dialled any more.
+const FORGET_ADDR: Duration = Duration::from_mins(1);
+
+impl Agent {
+    /// Keeps a session with every known entry.
+    pub(super) async fn keep_sessions(self: Arc<Self>) {
+        let mut connectors: JoinSet<SocketAddr> = JoinSet::new();
+        let mut dialled: Vec<SocketAddr> = Vec::new();
+        loop {
+            let known = self.keeper.lock().entries();
+            let known = known.into_iter().map(|entry| entry.addr);
+            let seeds = self.seeds.lock().clone();
+            for addr in seeds.into_iter().chain(known) {
+                if !dialled.contains(&addr) {
+                    dialled.push(addr);
+                    connectors.spawn(self.clone().connect(addr));
+                }
+            }
+            tokio::select! {
+                () = self.entries_changed.notified() => {}
+                Some(Ok(addr)) = connectors.join_next() => {
+                    log::info!(addr:%; "entry forgotten");
+                    // A seed is dialled again with the next change of the entries.
+                    dialled.retain(|known| *known != addr);
+                    sleep(MAX_REDIAL).await;
+                }
+            }
+        }
+    }
+
+    async fn connect(self: Arc<Self>, addr: SocketAddr) -> SocketAddr {
+        let mut pause = FIRST_REDIAL;
+        let mut heard_at = Instant::now();
+        while heard_at.elapsed() < FORGET_ADDR {
+            match timeout(HELLO_TIMEOUT, self.open(addr)).await {
+                Ok(Some((hello, link))) => {
+                    log::info!(entry:% = hello.name, addr:%; "session opened");
+                    self.serve(&hello, link).await;
+                    log::info!(entry:% = hello.name, addr:%; "session ended");
+                    heard_at = Instant::now();
+                    pause = FIRST_REDIAL;
+                }
+                Ok(None) | Err(_) => log::debug!(addr:%; "no session"),
+            }
+            sleep(pause).await;
+            pause = (pause * 2).min(MAX_REDIAL);
+        }
+        addr
+    }
+
+    async fn open(&self, addr: SocketAddr) -> Option<(Hello, Link)> {
+        let mut link = self.dialer.dial(addr).await.ok()?;
+        let hello = Hello {
+            protocol: PROTOCOL_VERSION,
+            role: Role::Agent,
+            name: self.identity.name.clone(),
+            incarnation: self.identity.incarnation,
+            zone: self.identity.zone.clone(),
+            session: 0,
+        };
+        link.tx.send(Frame::Hello(hello)).await.ok()?;
+        match link.rx.recv().await? {
+            Frame::Hello(hello) if hello.protocol == PROTOCOL_VERSION => Some((hello, link)),
+            other => {
+                log::warn!(addr:%, frame = other.kind(); "unexpected first frame");
+                None
+            }
+        }
+    }
+
+    async fn serve(self: &Arc<Self>, hello: &Hello, mut link: Link) {
+        let session = {
+            let mut next = self.next_session.lock();
+            *next += 1;
+            *next
+        };
+        let client = ClientId {
+            name: hello.name.clone(),
+            incarnation: hello.incarnation,
+        };
+        self.outlets.lock().insert(session, link.tx.clone());
+        self.with_keeper(|keeper, now| keeper.session_opened(&client, session, now));
+        self.pump(session, &mut link).await;
+        self.outlets.lock().remove(&session);
+        self.with_keeper(|keeper, _| keeper.session_closed(session));
+    }
+
+    async fn pump(self: &Arc<Self>, session: SessionId, link: &mut Link) {
+        let mut probes = interval(PROBE_INTERVAL);
+        probes.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut heard_at = Instant::now();
+        loop {
+            tokio::select! {
+                biased;
+                frame = link.rx.recv() => match frame {
+                    Some(Frame::Pool(frame)) => {
+                        heard_at = Instant::now();
+                        self.handle(session, frame);
+                    }
+                    Some(other) => {
+                        log::warn!(session, frame = other.kind(); "unexpected frame");
+                    }
+                    None => return,
+                },
+                _ = probes.tick() => {
+                    let open = self.outlets.lock().contains_key(&session);
+                    if heard_at.elapsed() > SESSION_SILENCE || !open {
+                        return;
+                    }
+                    let probe = self.keeper.lock().probe(Instant::now());
+                    self.send(session, PoolFrame::Probe(probe));
+                }
+            }
+        }
+    }
+
+    fn handle(self: &Arc<Self>, session: SessionId, frame: PoolFrame) {
+        match frame {
+            PoolFrame::Echo(probe) => {
+                self.with_keeper(|keeper, now| keeper.echoed(session, probe, now));
+            }
+            PoolFrame::View(view) => {
+                self.with_keeper(|keeper, now| keeper.view_offered(session, *view, now));
+            }
+            PoolFrame::Entries(entries) => self.learn_entries(&entries),
+            PoolFrame::Run(orders) => {
+                self.with_keeper(|keeper, now| keeper.run(session, orders, now));
+            }
+            PoolFrame::Stop(ids) => {
+                self.with_keeper(|keeper, now| keeper.stop(session, &ids, now));
+            }
+            PoolFrame::Probe(_)
+            | PoolFrame::Worker(_)
+            | PoolFrame::Free(_)
+            | PoolFrame::Resume(_)
+            | PoolFrame::Ended(_) => {
+                log::warn!(session, frame = frame.kind(); "unexpected frame");
+            }
+        }
+    }
+}
--- a/crates/masticcross-jobs/src/keeper/mod.rs
+++ b/crates/masticcross-jobs/src/keeper/mod.rs
@@ -4,6 +4,7 @@
 //! - [`runs`]: what holds room.
 //! - [`clients`]: entries, and how long the agent may act for them.
 //! - `calls`: answers of the worker.
+//! - `telling`: what entries are told.
 //!
 //! Nothing here waits. Methods take the time and leave [`Effect`]s, which the caller carries out in
 //! order.
@@ -12,6 +13,7 @@
 pub mod clients;
 pub mod lease;
 pub mod runs;
+mod telling;
 
 #[cfg(test)]
 mod tests;
@@ -20,8 +22,7 @@
 
 use masticcross_wire::NotStartedReason;
 use masticcross_wire::pool::{
-    EntryAddr, FreeRoom, OperatorView, PoolFrame, Resume, Room, RunEnd, RunId, RunOrder, RunResult,
-    WorkerInfo,
+    OperatorView, PoolFrame, Room, RunEnd, RunId, RunOrder, RunResult, WorkerInfo,
 };
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
@@ -29,7 +30,7 @@
 use crate::worker_client::{StartCall, StopCall, WorkerLife};
 
 pub use calls::{LOOK_WAIT, START_TIMEOUT};
-use clients::{Client, ClientId, Clients};
+use clients::{ClientId, Clients};
 use lease::Lease;
 use runs::{Phase, Run, Runs};
 
@@ -247,87 +248,6 @@
         }
     }
 
-    /// Opens a session with an entry and tells it the worker and what runs for it.
-    pub fn session_opened(&mut self, id: &ClientId, session: SessionId, now: Instant) {
-        self.clients.open(id, session, now);
-        let held = |run: &&Run| run.client == *id;
-        let mut running: Vec<RunId> = self.runs.iter().filter(held).map(order_id).collect();
-        running.sort();
-        let ended = self
-            .clients
-            .get(id)
-            .map_or_else(Vec::new, Client::late_ends);
-        let resume = Resume {
-            entry: id.incarnation,
-            running,
-            ended,
-            complete: self.knows_all_runs,
-        };
-        let frames = [
-            PoolFrame::Entries(self.clients.addrs()),
-            PoolFrame::View(Box::new(self.view.clone())),
-            PoolFrame::Resume(resume),
-            PoolFrame::Worker(self.offered(now)),
-            PoolFrame::Free(FreeRoom {
-                room: self.free(now),
-                orders_seen: 0,
-            }),
-        ];
-        let sends = frames.into_iter().map(|frame| Effect::Send(session, frame));
-        self.effects.extend(sends);
-    }
-
-    /// Notes that a session has ended. What runs for the entry goes on for a while.
-    pub fn session_closed(&mut self, session: SessionId) {
-        self.clients.close(session);
-    }
-
-    /// Returns the time to put into a probe.
-    #[must_use]
-    pub fn probe(&self, now: Instant) -> u64 {
-        let since = now.saturating_duration_since(self.probe_base);
-        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-    }
-
-    /// Notes the answer to a probe.
-    pub fn echoed(&mut self, session: SessionId, probe: u64, now: Instant) {
-        let sent_at = (self.probe_base + Duration::from_millis(probe)).min(now);
-        if let Some(client) = self.clients.of_session(session) {
-            client.heard(sent_at);
-        }
-    }
-
-    /// Takes over addresses of entries. Returns true if one is new.
-    pub fn learn_entries(&mut self, entries: &[EntryAddr]) -> bool {
-        let news = self.clients.learn(entries);
-        if news {
-            let all = self.clients.addrs();
-            self.send_all(|_| PoolFrame::Entries(all.clone()));
-        }
-        news
-    }
-
-    /// Lists the known entries.
-    #[must_use]
-    pub fn entries(&self) -> Vec<EntryAddr> {
-        self.clients.addrs()
-    }
-
-    /// Takes over operators' orders if they are newer, and passes them on to the other entries.
-    pub fn view_offered(&mut self, session: SessionId, view: OperatorView, now: Instant) {
-        if view.position <= self.view.position {
-            return;
-        }
-        log::info!(position = view.position, version = view.config_version; "operators' orders");
-        self.view = view;
-        let others: Vec<SessionId> = self.clients.sessions().map(|(s, _)| s).collect();
-        for other in others.into_iter().filter(|s| *s != session) {
-            let frame = PoolFrame::View(Box::new(self.view.clone()));
-            self.effects.push(Effect::Send(other, frame));
-        }
-        self.publish(now);
-    }
-
     /// Takes over runs of an entry. Each is started or answered by its end at once.
     pub fn run(&mut self, session: SessionId, orders: Vec<RunOrder>, now: Instant) {
         let Some(id) = self.clients.id_of(session) else {
@@ -464,73 +384,4 @@
         info.leaving |= self.closing;
         Some(info)
     }
-
-    /// Tells the entries of changes of the worker and of its free room.
-    fn publish(&mut self, now: Instant) {
-        let offered = self.offered(now);
-        self.knows_all_runs |= offered.is_some();
-        if self.told != offered {
-            log::info!(
-                usable = offered.is_some(),
-                leaving = offered.as_ref().is_some_and(|info| info.leaving);
-                "worker changed"
-            );
-            self.told.clone_from(&offered);
-            self.send_all(|_| PoolFrame::Worker(offered.clone()));
-        }
-        let room = self.free(now);
-        if self.told_free != Some(room) {
-            self.told_free = Some(room);
-            self.send_all(|orders_seen| PoolFrame::Free(FreeRoom { room, orders_seen }));
-        }
-    }
-
-    fn send_all(&mut self, frame: impl Fn(u64) -> PoolFrame) {
-        for (session, orders_seen) in self.clients.sessions() {
-            self.effects.push(Effect::Send(session, frame(orders_seen)));
-        }
-    }
-
-    fn tell_end(&mut self, client: &ClientId, end: RunEnd, now: Instant) {
-        let Some(client) = self.clients.get_mut(client) else {
-            return;
-        };
-        if let Some(session) = client.session {
-            let frame = PoolFrame::Ended(vec![end.clone()]);
-            self.effects.push(Effect::Send(session, frame));
-        }
-        client.keep_end(end, now);
-    }
-
-    /// Removes a run that has ended and tells its entry.
-    fn finish(&mut self, id: &RunId, result: RunResult, now: Instant) {
-        let Some(run) = self.runs.remove(&id.task) else {
-            return;
-        };
-        let took = now.saturating_duration_since(run.since);
-        let result = match result {
-            RunResult::Stopped if run.stuck => RunResult::Stuck,
-            other => other,
-        };
-        let end = RunEnd {
-            id: run.order.id,
-            result,
-            took_ms: u32::try_from(took.as_millis()).unwrap_or(u32::MAX),
-        };
-        log::debug!(run:% = end.id, result:? = end.result, took_ms = end.took_ms; "run ended");
-        self.tell_end(&run.client, end, now);
-    }
-
-    fn lose_all_runs(&mut self, now: Instant) {
-        let mut ids: Vec<RunId> = self.runs.iter().map(|run| run.order.id.clone()).collect();
-        ids.sort();
-        for id in ids {
-            log::info!(run:% = id; "run lost with its worker");
-            self.finish(&id, RunResult::Lost, now);
-        }
-    }
-}
-
-fn order_id(run: &Run) -> RunId {
-    run.order.id.clone()
 }
