Pause between unanswered looks at a worker

Cause: a worker that resets connections fails each look at once, and the agent looked again without a pause. Change: a pause of 10 ms from the second unanswered look in a row on, doubling to 100 ms; the second look that runs beside it pauses 100 ms. 'job taken' logs how long its caller waits.

--- a/crates/masticcross-jobs/src/agent/calls.rs
+++ b/crates/masticcross-jobs/src/agent/calls.rs
@@ -17,6 +17,11 @@
 /// once though one of them is lost.
 const DOUBLE_LOOKS: Duration = Duration::from_secs(3);
 
+/// Pause after the second unanswered look in a row; it doubles up to the greatest. A worker that
+/// resets connections fails each look at once.
+const FIRST_LOOK_PAUSE: Duration = Duration::from_millis(10);
+const MAX_LOOK_PAUSE: Duration = Duration::from_millis(100);
+
 /// Time after which a stop counts as unanswered.
 const STOP_TIMEOUT: Duration = Duration::from_millis(60);
 
@@ -92,6 +97,7 @@
                 continue;
             };
             missed = if self.look(call).await { 0 } else { missed + 1 };
+            sleep(look_pause(missed)).await;
         }
     }
 
@@ -106,7 +112,9 @@
             let call = self.with_keeper(|keeper, now| keeper.next_look(0, LOOK_WAIT, now));
             match call {
                 Some(call) => {
-                    self.look(call).await;
+                    if !self.look(call).await {
+                        sleep(MAX_LOOK_PAUSE).await;
+                    }
                 }
                 None => sleep(TICK).await,
             }
@@ -114,6 +122,17 @@
     }
 }
 
+/// Returns the pause before the next look after a number of unanswered ones in a row.
+fn look_pause(missed: u32) -> Duration {
+    match missed {
+        0 | 1 => Duration::ZERO,
+        missed => {
+            let doublings = (missed - 2).min(16);
+            (FIRST_LOOK_PAUSE * (1 << doublings)).min(MAX_LOOK_PAUSE)
+        }
+    }
+}
+
 fn no_answer() -> CallError {
     CallError::NoAnswer("timed out".to_owned())
 }
--- a/crates/masticcross-jobs/src/scheduler/mod.rs
+++ b/crates/masticcross-jobs/src/scheduler/mod.rs
@@ -161,6 +161,7 @@
         log::info!(
             job:% = id, queue:% = job.queue.name, tasks = job.tasks().count(),
             objective_ms = job.objective.as_millis(),
+            patience_ms = job.request.deadline.saturating_duration_since(now).as_millis(),
             orders_position = self.view.as_ref().map_or(0, |view| view.position),
             usable_workers = self.levels().workers, jobs_waiting = self.waiting.len();
             "job taken"
