Tell many entries of free room together

Cause: an agent told every change of its free room on every session at once. Change: with more than 16 sessions an entry is told at once only of what its own runs change, and of the rest every 20 ms. Up to 16 sessions nothing changes, but that an entry is also told when a run of its own was refused, so that the room of that run is not taken for used until the next change. Tests: keeper::many_entries_are_told_together_of_each_others_runs, keeper::few_entries_are_told_of_every_run_at_once.

--- a/crates/masticcross-jobs/src/keeper/clients.rs
+++ b/crates/masticcross-jobs/src/keeper/clients.rs
@@ -5,7 +5,7 @@
 
 use masticcross_basics::Name;
 use masticcross_wire::Incarnation;
-use masticcross_wire::pool::{EntryAddr, RunEnd};
+use masticcross_wire::pool::{EntryAddr, FreeRoom, Room, RunEnd};
 use tokio::time::Instant;
 
 use super::SessionId;
@@ -36,6 +36,10 @@
     pub session: Option<SessionId>,
     /// Runs that arrived on the open session.
     pub orders_seen: u64,
+    /// Free room that was last told on the open session.
+    told: Option<FreeRoom>,
+    /// True if a run of this entry has ended since.
+    run_ended: bool,
     heard_at: Instant,
     ends: VecDeque<(Instant, RunEnd)>,
 }
@@ -45,6 +49,8 @@
         Self {
             session: None,
             orders_seen: 0,
+            told: None,
+            run_ended: false,
             heard_at: now,
             ends: VecDeque::new(),
         }
@@ -61,8 +67,27 @@
         now.saturating_duration_since(self.heard_at) < AUTHORITY
     }
 
+    /// Takes over the free room for the open session, and returns what is to be told now: all of it
+    /// if `all`, else only what this entry's own runs changed.
+    pub fn free_to_tell(&mut self, room: Room, all: bool) -> Option<(SessionId, FreeRoom)> {
+        let session = self.session?;
+        let free = FreeRoom {
+            room,
+            orders_seen: self.orders_seen,
+        };
+        let told_orders = self.told.map_or(0, |told| told.orders_seen);
+        let own = self.run_ended || told_orders != self.orders_seen;
+        if self.told == Some(free) || !(all || own) {
+            return None;
+        }
+        self.told = Some(free);
+        self.run_ended = false;
+        Some((session, free))
+    }
+
     /// Keeps an end for a session that opens later.
     pub fn keep_end(&mut self, end: RunEnd, now: Instant) {
+        self.run_ended = true;
         self.ends.push_back((now, end));
         self.drop_old_ends(now);
     }
@@ -96,6 +121,7 @@
         let client = client.or_insert_with(|| Client::new(now));
         let replaced = client.session.replace(session);
         client.orders_seen = 0;
+        client.told = None;
         client.heard(now);
         if let Some(replaced) = replaced {
             self.by_session.remove(&replaced);
@@ -136,10 +162,21 @@
         self.by_id.get_mut(id)
     }
 
-    /// Lists the open sessions with the number of orders seen on each.
-    pub fn sessions(&self) -> impl Iterator<Item = (SessionId, u64)> + '_ {
-        let open = |client: &Client| client.session.map(|s| (s, client.orders_seen));
-        self.by_id.values().filter_map(open)
+    /// Lists the open sessions.
+    pub fn sessions(&self) -> impl Iterator<Item = SessionId> + '_ {
+        self.by_id.values().filter_map(|client| client.session)
+    }
+
+    /// Counts the open sessions.
+    #[must_use]
+    pub fn open_sessions(&self) -> usize {
+        self.by_session.len()
+    }
+
+    /// Returns what is to be told of the free room now; see [`Client::free_to_tell`].
+    pub fn free_to_tell(&mut self, room: Room, all: bool) -> Vec<(SessionId, FreeRoom)> {
+        let clients = self.by_id.values_mut();
+        clients.filter_map(|c| c.free_to_tell(room, all)).collect()
     }
 
     /// Forgets entries that are gone and for which nothing runs.
--- a/crates/masticcross-jobs/src/keeper/mod.rs
+++ b/crates/masticcross-jobs/src/keeper/mod.rs
@@ -114,7 +114,8 @@
     crowded_at: Option<Instant>,
     effects: Vec<Effect>,
     told: Option<WorkerInfo>,
-    told_free: Option<Room>,
+    /// When changes of the free room were last told on all sessions.
+    told_all_at: Option<Instant>,
     probe_base: Instant,
 }
 
@@ -133,7 +134,7 @@
             crowded_at: None,
             effects: Vec::new(),
             told: None,
-            told_free: None,
+            told_all_at: None,
             probe_base: now,
         }
     }
--- a/crates/masticcross-jobs/src/keeper/telling.rs
+++ b/crates/masticcross-jobs/src/keeper/telling.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use masticcross_wire::pool::{
-    EntryAddr, FreeRoom, OperatorView, PoolFrame, Resume, RunEnd, RunId, RunResult,
+    EntryAddr, OperatorView, PoolFrame, Resume, RunEnd, RunId, RunResult,
 };
 use tokio::time::Instant;
 
@@ -11,6 +11,13 @@
 use super::runs::Run;
 use super::{Effect, Keeper, SessionId};
 
+/// Sessions up to which each change of the free room is told on all of them at once. With more, an
+/// entry is told at once only of what its own runs change.
+const MAX_PROMPT_SESSIONS: usize = 16;
+
+/// Interval at which changes by other entries' runs are told on many sessions.
+const TELL_INTERVAL: Duration = Duration::from_millis(20);
+
 impl Keeper {
     /// Opens a session with an entry and tells it the worker and what runs for it.
     pub fn session_opened(&mut self, id: &ClientId, session: SessionId, now: Instant) {
@@ -33,13 +40,15 @@
             PoolFrame::View(Box::new(self.view.clone())),
             PoolFrame::Resume(resume),
             PoolFrame::Worker(self.offered(now)),
-            PoolFrame::Free(FreeRoom {
-                room: self.free(now),
-                orders_seen: 0,
-            }),
         ];
         let sends = frames.into_iter().map(|frame| Effect::Send(session, frame));
         self.effects.extend(sends);
+        let room = self.free(now);
+        let client = self.clients.get_mut(id);
+        if let Some((session, free)) = client.and_then(|c| c.free_to_tell(room, true)) {
+            self.effects
+                .push(Effect::Send(session, PoolFrame::Free(free)));
+        }
     }
 
     /// Notes that a session has ended. What runs for the entry goes on for a while.
@@ -67,7 +76,7 @@
         let news = self.clients.learn(entries);
         if news {
             let all = self.clients.addrs();
-            self.send_all(|_| PoolFrame::Entries(all.clone()));
+            self.send_all(&PoolFrame::Entries(all));
         }
         news
     }
@@ -85,7 +94,7 @@
         }
         log::info!(position = view.position, version = view.config_version; "operators' orders");
         self.view = view;
-        let others: Vec<SessionId> = self.clients.sessions().map(|(s, _)| s).collect();
+        let others: Vec<SessionId> = self.clients.sessions().collect();
         for other in others.into_iter().filter(|s| *s != session) {
             let frame = PoolFrame::View(Box::new(self.view.clone()));
             self.effects.push(Effect::Send(other, frame));
@@ -104,18 +113,24 @@
                 "worker changed"
             );
             self.told.clone_from(&offered);
-            self.send_all(|_| PoolFrame::Worker(offered.clone()));
+            self.send_all(&PoolFrame::Worker(offered));
+        }
+        let prompt = self.clients.open_sessions() <= MAX_PROMPT_SESSIONS;
+        let due = |at: Instant| now.saturating_duration_since(at) >= TELL_INTERVAL;
+        let all = prompt || self.told_all_at.is_none_or(due);
+        if all {
+            self.told_all_at = Some(now);
         }
         let room = self.free(now);
-        if self.told_free != Some(room) {
-            self.told_free = Some(room);
-            self.send_all(|orders_seen| PoolFrame::Free(FreeRoom { room, orders_seen }));
+        for (session, free) in self.clients.free_to_tell(room, all) {
+            self.effects
+                .push(Effect::Send(session, PoolFrame::Free(free)));
         }
     }
 
-    fn send_all(&mut self, frame: impl Fn(u64) -> PoolFrame) {
-        for (session, orders_seen) in self.clients.sessions() {
-            self.effects.push(Effect::Send(session, frame(orders_seen)));
+    fn send_all(&mut self, frame: &PoolFrame) {
+        for session in self.clients.sessions() {
+            self.effects.push(Effect::Send(session, frame.clone()));
         }
     }
 
--- a/crates/masticcross-jobs/src/keeper/tests.rs
+++ b/crates/masticcross-jobs/src/keeper/tests.rs
@@ -165,6 +165,15 @@
         self.ends().into_iter().map(|end| end.result).collect()
     }
 
+    /// Lists what a session was told of the free room.
+    fn told_free(&self, session: SessionId) -> Vec<Room> {
+        let told = self.effects.iter().filter_map(|e| match e {
+            Effect::Send(to, PoolFrame::Free(free)) if *to == session => Some(free.room),
+            _ => None,
+        });
+        told.collect()
+    }
+
     fn free_cores(&self) -> u64 {
         self.keeper.levels(self.now).free.cpu / 1_000
     }
@@ -566,4 +575,25 @@
         let told = |e: &&Effect| matches!(e, Effect::Send(_, PoolFrame::Entries(_)));
         assert_eq!(b.effects.iter().filter(told).count(), 1);
     };
+    many_entries_are_told_together_of_each_others_runs => |mut b: Bench| {
+        for number in 2..42 {
+            b.step(|k, now| k.session_opened(&client(number), number, now));
+        }
+        b.pass_in_contact(Duration::from_millis(20));
+        b.effects.clear();
+        for index in 0..5 {
+            b.start_run(index, 1);
+        }
+        let own = b.told_free(SESSION);
+        assert_eq!(own.last(), Some(&room(5)), "its own runs are told at once");
+        assert!(b.told_free(30).len() <= 2, "{} frames for 5 runs", b.told_free(30).len());
+        b.pass_in_contact(Duration::from_millis(20));
+        assert_eq!(b.told_free(30).last(), Some(&room(5)));
+    };
+    few_entries_are_told_of_every_run_at_once => |mut b: Bench| {
+        b.step(|k, now| k.session_opened(&client(2), 2, now));
+        b.effects.clear();
+        b.order(order(0, 1));
+        assert_eq!(b.told_free(2), vec![room(9)]);
+    };
 }
