Take runs for lost after a worker's restart only by a look under the raised token

The agent's log shows 'worker started' with a new life under the same id, and in the same millisecond 'run is not at the worker' for four runs whose starts the new life had answered 2 ms before: the list that told of the new life was made before those starts arrived, and overtook nothing but their answers. Change: at a new life all runs are in doubt, and only a look sent under the token raised then tells whether they are there. A start that a former life did not answer counts as lost, not as never started, as it may have run there. Test changed: keeper::a_worker_that_starts_anew_under_its_id_keeps_only_listed_runs held that the first list proves the loss, which the trace shows to be wrong; it now asks for no end at the first list and for the same end at the next. New tests, first seen failing: a_list_of_a_new_life_made_before_a_start_arrived_loses_no_run, an_unanswered_start_to_a_former_life_may_have_run.

--- a/crates/masticcross-jobs/src/keeper/calls.rs
+++ b/crates/masticcross-jobs/src/keeper/calls.rs
@@ -281,7 +281,7 @@
                 foreign.push(entry.run.clone());
                 continue;
             };
-            if let Phase::Starting { .. } = run.phase {
+            if let Phase::Starting { .. } | Phase::InDoubt { .. } = run.phase {
                 run.phase = Phase::Running {
                     since_clock_ms: lists.clock_ms,
                 };
@@ -343,7 +343,10 @@
                         gone.push((run.order.id.clone(), RunResult::Lost));
                     }
                 }
-                Phase::Starting { .. } | Phase::Running { .. } => {}
+                Phase::InDoubt { token: before } if before < token => {
+                    gone.push((run.order.id.clone(), RunResult::Lost));
+                }
+                Phase::Starting { .. } | Phase::Running { .. } | Phase::InDoubt { .. } => {}
             }
         }
         gone.sort_by(|a, b| a.0.cmp(&b.0));
--- a/crates/masticcross-jobs/src/keeper/mod.rs
+++ b/crates/masticcross-jobs/src/keeper/mod.rs
@@ -215,13 +215,13 @@
     }
 
     /// Begins a life of the worker, of which nothing is known but that it runs. Orders meant for an
-    /// earlier life under the same id may have reached this one: the first look tells.
+    /// earlier life under the same id may have reached this one, also after the list that told of it
+    /// was made: the first look under the raised token tells.
     fn begin_life(&mut self, life: WorkerLife) {
         log::info!(worker:% = life.id, born_ms = life.born_ms; "worker started");
+        let token = self.lease.token();
         for run in self.runs.iter_mut() {
-            if let Phase::Running { since_clock_ms } = &mut run.phase {
-                *since_clock_ms = 0;
-            }
+            run.phase = Phase::InDoubt { token };
         }
         self.lease.forget_clock();
         // A new life has seen no token: orders to the former one that are still on their way must not
--- a/crates/masticcross-jobs/src/keeper/runs.rs
+++ b/crates/masticcross-jobs/src/keeper/runs.rs
@@ -35,6 +35,12 @@
         /// The worker's clock when it was there for the first time, in milliseconds.
         since_clock_ms: u64,
     },
+    /// The worker has started anew since the start was sent. The order may have arrived before, and
+    /// ended with the former life, or after.
+    InDoubt {
+        /// Token before the new life was known; a look under a higher one tells.
+        token: u64,
+    },
 }
 
 /// A run that holds room.
--- a/crates/masticcross-jobs/src/keeper/tests.rs
+++ b/crates/masticcross-jobs/src/keeper/tests.rs
@@ -416,6 +416,9 @@
         b.order(order(1, 3));
         let call = b.next_look();
         b.answer(&call, 2, vec![running(1, 0)], vec![]);
+        assert_eq!(b.results(), vec![], "the list may be older than the start's arrival");
+        let call = b.next_look();
+        b.answer(&call, 2, vec![running(1, 0)], vec![]);
         assert_eq!(b.ends().iter().map(|e| e.id.clone()).collect::<Vec<_>>(), vec![run(0, 1)]);
         assert_eq!(b.free_cores(), 0, "its resources may have changed");
         b.report(2, 1, false);
@@ -596,4 +599,29 @@
         b.order(order(0, 1));
         assert_eq!(b.told_free(2), vec![room(9)]);
     };
+    a_list_of_a_new_life_made_before_a_start_arrived_loses_no_run => |mut b: Bench| {
+        b.order(order(0, 2));
+        let call = b.take_start().expect("the run fits");
+        let look = b.next_look();
+        b.pass_in_contact(Duration::from_millis(2));
+        b.started(&call, StartVerdict::Started);
+        b.answer(&look, 2, vec![], vec![]);
+        assert_eq!(b.results(), vec![], "the start may have reached the new life");
+        b.report(2, 1, false);
+        let look = b.next_look();
+        b.answer(&look, 2, vec![running(0, 10)], vec![]);
+        assert_eq!((b.results(), b.free_cores()), (vec![], 8));
+        let look = b.next_look();
+        b.answer(&look, 2, vec![], vec![ended(1, 0, WorkerEnd::Done)]);
+        assert_eq!((b.results(), b.free_cores()), (vec![RunResult::Done], 10));
+    };
+    an_unanswered_start_to_a_former_life_may_have_run => |mut b: Bench| {
+        b.order(order(0, 2));
+        b.take_start().expect("the run fits");
+        let look = b.next_look();
+        b.answer(&look, 2, vec![], vec![]);
+        let look = b.next_look();
+        b.answer(&look, 2, vec![], vec![]);
+        assert_eq!(b.results(), vec![RunResult::Lost]);
+    };
 }
