Tell free room together from nine sessions on

Change: the limit from which on changes by other entries' runs are told every 20 ms goes from 16 sessions to 8, the most that a deployment of today's size has.

--- a/crates/masticcross-jobs/src/keeper/telling.rs
+++ b/crates/masticcross-jobs/src/keeper/telling.rs
@@ -13,7 +13,7 @@
 
 /// Sessions up to which each change of the free room is told on all of them at once. With more, an
 /// entry is told at once only of what its own runs change.
-const MAX_PROMPT_SESSIONS: usize = 16;
+const MAX_PROMPT_SESSIONS: usize = 8;
 
 /// Interval at which changes by other entries' runs are told on many sessions.
 const TELL_INTERVAL: Duration = Duration::from_millis(20);
