Give an entry a second for its first frame, and 150 ms for the connection

Cause: an agent gave a dial up after 150 ms, handshake and first frame included. That limit is for the opening packet to a machine without power, which is sent again only after a second. An entry to which 60 to 90 agents connect at once on 0.12 of a core can need longer for each handshake, and every dial given up adds another one. Change: the limit of 150 ms holds for the connection alone; handshake and first frame have a second.

--- a/crates/masticcross-jobs/src/agent/mod.rs
+++ b/crates/masticcross-jobs/src/agent/mod.rs
@@ -18,6 +18,8 @@
 use tokio::sync::{Notify, mpsc};
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
 
+pub use sessions::CONNECT_TIMEOUT;
+
 use crate::keeper::{Effect, Keeper, SessionId, WorkerReport};
 use crate::metrics::{self, AgentMetrics};
 use crate::worker_client::WorkerClient;
--- a/crates/masticcross-jobs/src/agent/sessions.rs
+++ b/crates/masticcross-jobs/src/agent/sessions.rs
@@ -20,9 +20,13 @@
 /// Silence after which a session is closed.
 const SESSION_SILENCE: Duration = Duration::from_millis(600);
 
-/// Longest wait for an entry's first frame. The opening packet to a machine that is down is sent
-/// again only after a second or more, so that a new dial finds a returned machine sooner.
-const HELLO_TIMEOUT: Duration = Duration::from_millis(150);
+/// Longest wait for a connection. The opening packet to a machine that is down is sent again only
+/// after a second or more, so that a new dial finds a returned machine sooner.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Longest wait for an entry's first frame. An entry to which all agents connect at once needs its
+/// time for them; giving up early would only add to its work.
+const HELLO_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Pause after a failed dial; it doubles up to the greatest.
 const FIRST_REDIAL: Duration = Duration::from_millis(25);
--- a/crates/masticcross-wire/src/ws/mod.rs
+++ b/crates/masticcross-wire/src/ws/mod.rs
@@ -59,19 +59,31 @@
 #[derive(Debug, Clone)]
 pub struct WsDialer {
     secret: SharedSecret,
+    connect_timeout: Duration,
 }
 
 impl WsDialer {
     /// Creates a dialler that presents a secret.
     #[must_use]
     pub fn new(secret: SharedSecret) -> Self {
-        Self { secret }
+        Self {
+            secret,
+            connect_timeout: CONNECT_TIMEOUT,
+        }
+    }
+
+    /// Sets the longest wait for the connection itself, before the handshake on it.
+    #[must_use]
+    pub fn connect_timeout(mut self, limit: Duration) -> Self {
+        self.connect_timeout = limit;
+        self
     }
 
     async fn connect(&self, addr: SocketAddr) -> Result<Link> {
         let refused = |reason: String| LinkError::Connect { addr, reason };
-        let stream = TcpStream::connect(addr)
+        let stream = timeout(self.connect_timeout, TcpStream::connect(addr))
             .await
+            .map_err(|_| refused("no connection in time".to_owned()))?
             .map_err(|e| refused(e.to_string()))?;
         // Without it frames are only slower.
         let _ = stream.set_nodelay(true);
