Look again without a pause after an answered look

Cause: the pause between unanswered looks slept for no time after an answered one, which the runtime's clock rounds up to a millisecond: each end is seen later by up to that, and costs one more wake-up. Seen on reading the change. Change: no sleep unless there is a pause.

--- a/crates/masticcross-jobs/src/agent/calls.rs
+++ b/crates/masticcross-jobs/src/agent/calls.rs
@@ -97,7 +97,9 @@
                 continue;
             };
             missed = if self.look(call).await { 0 } else { missed + 1 };
-            sleep(look_pause(missed)).await;
+            if let Some(pause) = look_pause(missed) {
+                sleep(pause).await;
+            }
         }
     }
 
@@ -122,15 +124,10 @@
     }
 }
 
-/// Returns the pause before the next look after a number of unanswered ones in a row.
-fn look_pause(missed: u32) -> Duration {
-    match missed {
-        0 | 1 => Duration::ZERO,
-        missed => {
-            let doublings = (missed - 2).min(16);
-            (FIRST_LOOK_PAUSE * (1 << doublings)).min(MAX_LOOK_PAUSE)
-        }
-    }
+/// Returns the pause before the next look after a number of unanswered ones in a row, if any.
+fn look_pause(missed: u32) -> Option<Duration> {
+    let doublings = missed.checked_sub(2)?.min(16);
+    Some((FIRST_LOOK_PAUSE * (1 << doublings)).min(MAX_LOOK_PAUSE))
 }
 
 fn no_answer() -> CallError {
