Split the experiment's model by what it does

The actions on the system and the tasks at workers are modules of their own now; nothing else changed.

--- a/crates/masticcross-standins/src/experiment/model.rs
+++ b/crates/masticcross-standins/src/experiment/model.rs
@@ -1,4 +1,10 @@
 //! The model: events in virtual time around the real shard of an entry.
+//!
+//! - `actions`: what happens to the system.
+//! - `tasks`: tasks at workers, and their ends.
+
+mod actions;
+mod tasks;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
@@ -8,17 +14,16 @@
 use masticcross_basics::{AttemptId, Code, Epoch, JobKey, Name};
 use masticcross_entry::dispatch::budget::RetryBudget;
 use masticcross_entry::dispatch::shard::{Shard, ShardSettings};
-use masticcross_entry::dispatch::workers::Connected;
 use masticcross_entry::dispatch::{TeamUsage, Waiting};
-use masticcross_wire::{JobRequest, Json, TaskEnded, TaskOutcome};
+use masticcross_wire::{JobRequest, Json};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use tokio::time::Instant;
 
-use super::report::{SLICE, Sample};
+use super::report::SLICE;
 use super::setup::{SERVICE, team_name, zone_name};
-use super::worker::{Fate, ModelTask, ModelWorker};
-use super::{Action, Report, Setup};
+use super::worker::{ModelTask, ModelWorker};
+use super::{Report, Setup};
 
 /// Interval at which the shard updates what changes by time alone.
 const TICK: Duration = Duration::from_millis(100);
@@ -341,146 +346,6 @@
         *longest = waited.max(*longest);
     }
 
-    fn reach(&mut self, worker: usize, task: usize) {
-        let slots = self.setup.slots;
-        if self.over[task] {
-            return;
-        }
-        let model = &mut self.workers[worker];
-        if model.running >= slots {
-            model.queue.push_back(self.tasks[task]);
-            return;
-        }
-        model.running += 1;
-        let (run, end) = match model.fate(self.tasks[task].run, &mut self.rng) {
-            Fate::Done(run) => (run, End::Done),
-            Fate::Failed(run) => (run, End::Failed),
-            Fate::Never => return,
-        };
-        self.after(run, Event::End { worker, task, end });
-    }
-
-    fn end(&mut self, worker: usize, task: usize, end: End) {
-        if std::mem::replace(&mut self.over[task], true) {
-            return;
-        }
-        let model = &mut self.workers[worker];
-        let queued = model.queue.len();
-        model.queue.retain(|t| t.attempt != task as u64);
-        if model.queue.len() == queued {
-            model.running -= 1;
-        }
-        model.credit += 1;
-        if model.connected {
-            self.send_report(worker, task, end);
-        } else {
-            model.unsent.push((task, end));
-        }
-        self.start_queued(worker);
-    }
-
-    fn start_queued(&mut self, worker: usize) {
-        let model = &mut self.workers[worker];
-        if model.running >= self.setup.slots {
-            return;
-        }
-        if let Some(next) = model.queue.pop_front() {
-            let task = usize::try_from(next.attempt).unwrap_or_default();
-            self.reach(worker, task);
-        }
-    }
-
-    fn send_report(&mut self, worker: usize, task: usize, end: End) {
-        let latency = self.setup.latency;
-        let model = &self.workers[worker];
-        let credit = Event::Credit {
-            worker,
-            session: model.session,
-            total: model.credit,
-        };
-        self.after(latency, Event::Report { worker, task, end });
-        self.after(latency, credit);
-    }
-
-    fn reported(&mut self, worker: usize, task: usize, end: End) {
-        let ModelTask {
-            job, index, run, ..
-        } = self.tasks[task];
-        let factor = match self.workers[worker].behaviour {
-            super::Behaviour::Slow(factor) => factor,
-            _ => 1.0,
-        };
-        let outcome = match end {
-            End::Done => TaskOutcome::Done(Json::from("0")),
-            End::Failed => TaskOutcome::Failed("model".to_owned()),
-            End::Stopped => TaskOutcome::Stopped,
-        };
-        let run_us = run.mul_f64(factor).as_micros();
-        let ended = TaskEnded {
-            key: self.jobs[job].key.clone(),
-            index,
-            attempt: attempt(task as u64),
-            outcome,
-            run_us: u64::try_from(run_us).unwrap_or(u64::MAX),
-            stamp: masticcross_basics::timeline::Stamp::default(),
-        };
-        let name = self.workers[worker].name.clone();
-        let now = self.instant();
-        self.shard.ended(&name, &ended, now);
-        match end {
-            End::Done => self.task_done(job, run),
-            End::Failed => {
-                let id = u32::try_from(worker).unwrap_or_default();
-                *self.report.task_failures.entry(id).or_default() += 1;
-                self.task_failed(job, index, name);
-            }
-            End::Stopped => {}
-        }
-    }
-
-    fn task_done(&mut self, id: usize, run: Duration) {
-        let measured = self.is_measured(self.now);
-        let counted = self.is_measured(self.jobs[id].arrived);
-        let job = &mut self.jobs[id];
-        if measured {
-            *self.report.work_by_team.entry(job.team).or_default() += run.as_secs_f64();
-        }
-        job.left -= 1;
-        if job.ended || job.left > 0 {
-            return;
-        }
-        job.ended = true;
-        let response = self.now.saturating_sub(job.arrived);
-        let ratio = response.as_secs_f64() / job.ideal.as_secs_f64();
-        if counted {
-            self.report.answered_secs += job.work.as_secs_f64();
-        }
-        if measured {
-            self.report.complete(Sample {
-                tasks: job.runs.len(),
-                ratio,
-                work: job.work,
-            });
-        }
-    }
-
-    /// Tries a failed task again on another worker, as far as the budget allows it.
-    fn task_failed(&mut self, id: usize, index: u16, worker: Name) {
-        let now = self.instant();
-        let job = &mut self.jobs[id];
-        if job.ended {
-            return;
-        }
-        let tried = job.failed_at.entry(index).or_default();
-        tried.push(worker);
-        if tried.len() < MAX_TRIES && self.budget.try_retry(now) {
-            self.report.retries += 1;
-            self.queue(id, index);
-        } else {
-            self.fail(id, Code::TaskFailed);
-        }
-    }
-
     fn fail(&mut self, id: usize, code: Code) {
         let measured = self.is_measured(self.jobs[id].arrived);
         let job = &mut self.jobs[id];
@@ -503,72 +368,6 @@
     fn is_measured(&self, at: Duration) -> bool {
         (self.setup.warm_up..self.setup.length).contains(&at)
     }
-
-    fn act(&mut self, action: Action) {
-        match action {
-            Action::Behave(worker, behaviour) => {
-                self.workers[worker as usize].behaviour = behaviour;
-            }
-            Action::ZoneOut(zone) => {
-                self.zones_out.push(zone);
-                self.publish();
-            }
-            Action::ZoneBack(zone) => {
-                self.zones_out.retain(|z| *z != zone);
-                self.publish();
-            }
-            Action::Rate(factor) => self.rate = factor,
-            Action::RunTimes(factor) => self.run_factor = factor,
-            Action::CancelHalf => self.cancel_half(),
-            Action::Disconnect(worker) => self.disconnect(worker as usize),
-            Action::Connect(worker) => self.connect(worker as usize),
-        }
-    }
-
-    fn publish(&mut self) {
-        self.config_version += 1;
-        let document = self.setup.document(&self.zones_out);
-        let now = self.instant();
-        self.shard.apply_config(self.config_version, &document, now);
-    }
-
-    fn cancel_half(&mut self) {
-        let open = (0..self.jobs.len()).filter(|id| !self.jobs[*id].ended);
-        let cancelled: Vec<usize> = open.step_by(2).collect();
-        for id in cancelled {
-            self.fail(id, Code::Cancelled);
-        }
-    }
-
-    fn disconnect(&mut self, worker: usize) {
-        let now = self.instant();
-        let model = &mut self.workers[worker];
-        model.connected = false;
-        self.shard.disconnect(&model.name, model.session, now);
-    }
-
-    fn connect(&mut self, worker: usize) {
-        let now = self.instant();
-        let model = &mut self.workers[worker];
-        model.session += 1;
-        model.connected = true;
-        let queued = u32::try_from(model.queue.len()).unwrap_or(u32::MAX);
-        let used = model.running + queued;
-        model.credit = u64::from((self.setup.slots + self.setup.prefetch).saturating_sub(used));
-        let connected = Connected {
-            worker: model.name.clone(),
-            incarnation: 1,
-            zone: zone_name(model.zone),
-            number: model.session,
-            slots: self.setup.slots,
-        };
-        self.shard.connect(&connected, now);
-        self.shard
-            .credit(&model.name, model.session, model.credit, now);
-        for (task, end) in std::mem::take(&mut self.workers[worker].unsent) {
-            self.send_report(worker, task, end);
-        }
-    }
 }
 
 fn attempt(seq: u64) -> AttemptId {
