Give each agent sessions with at most eight entries

Cause: every agent has a session with every entry.

Change: agents rank the entries by rendezvous hashing and have sessions with the first eight that they reach, up to four in their own zone (entry_selection, without I/O). Better ranked entries that return replace others: the replaced session gets no more resources and is closed after its entry's runs have ended. Addresses of entries carry zone and incarnation; an address of an earlier process no longer replaces a newer one, and only changed addresses are sent on.

Ruled out: passing jobs between entries. With eight random entries an agent, each entry shares its workers with nearly all others, so that an entry under load pushes the others to other workers.

--- a/crates/masticcross-jobs/src/agent/mod.rs
+++ b/crates/masticcross-jobs/src/agent/mod.rs
@@ -1,7 +1,7 @@
 //! The agent of a worker: connects the supervisor to the worker, the entries and the clock.
 //!
 //! - `calls`: calls to the worker.
-//! - `sessions`: sessions with all entries.
+//! - `sessions`: sessions with the selected entries.
 
 mod calls;
 mod sessions;
@@ -20,6 +20,7 @@
 
 pub use sessions::CONNECT_TIMEOUT;
 
+use crate::entry_selection::EntrySelection;
 use crate::metrics::{self, AgentMetrics};
 use crate::report_store::WorkerReportStore;
 use crate::supervisor::{Effect, SessionId, Supervisor, WorkerReport};
@@ -53,6 +54,7 @@
     dialer: Arc<dyn Dialer>,
     next_session: Mutex<SessionId>,
     seeds: Mutex<Vec<SocketAddr>>,
+    selection: Mutex<EntrySelection>,
     entries_changed: Notify,
     worker_changed: Notify,
     last_missed_poll: Mutex<Option<Instant>>,
@@ -74,6 +76,10 @@
     ) -> metrics::Result<Arc<Self>> {
         Ok(Arc::new(Self {
             metrics: AgentMetrics::new()?,
+            selection: Mutex::new(EntrySelection::new(
+                identity.name.clone(),
+                identity.zone.clone(),
+            )),
             identity,
             supervisor: Mutex::new(Supervisor::new(lease, unix_ms, Instant::now())),
             senders: Mutex::default(),
@@ -183,6 +189,9 @@
             Effect::Stop(call) => {
                 tokio::spawn(self.clone().stop(call));
             }
+            Effect::Close(session) => {
+                self.senders.lock().remove(&session);
+            }
             Effect::Poll => {
                 tokio::spawn(self.clone().poll_once());
             }
--- a/crates/masticcross-jobs/src/agent/sessions.rs
+++ b/crates/masticcross-jobs/src/agent/sessions.rs
@@ -1,4 +1,4 @@
-//! Sessions with all known entries.
+//! Sessions with the selected entries.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -6,9 +6,11 @@
 
 use masticcross_wire::pool::PoolFrame;
 use masticcross_wire::{Frame, Hello, Link, PROTOCOL_VERSION, Role};
+use smallvec::SmallVec;
 use tokio::task::JoinSet;
-use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until, timeout};
 
+use crate::entry_selection::MAX_SESSIONS;
 use crate::supervisor::SessionId;
 use crate::supervisor::clients::ClientId;
 
@@ -28,56 +30,55 @@
 /// time to answer them; a shorter timeout would only add to its load.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Backoff after a failed dial; it doubles up to the maximum.
-const MIN_REDIAL_BACKOFF: Duration = Duration::from_millis(25);
-const MAX_REDIAL_BACKOFF: Duration = Duration::from_millis(100);
-
-/// Time without a session after which an address is no longer dialed.
-const ADDR_RETENTION: Duration = Duration::from_mins(1);
+/// Interval at which the selection is checked while no address has to be dialed.
+const IDLE_INTERVAL: Duration = Duration::from_secs(1);
 
 impl Agent {
-    /// Maintains a session with every known entry.
+    /// Maintains sessions with the selected entries.
     pub(super) async fn session_loop(self: Arc<Self>) {
         let mut connectors: JoinSet<SocketAddr> = JoinSet::new();
-        let mut dialed: Vec<SocketAddr> = Vec::new();
         loop {
-            let known_addrs = self.supervisor.lock().entries();
-            let known_addrs = known_addrs.into_iter().map(|entry| entry.addr);
-            let seeds = self.seeds.lock().clone();
-            for addr in seeds.into_iter().chain(known_addrs) {
-                if !dialed.contains(&addr) {
-                    dialed.push(addr);
-                    connectors.spawn(self.clone().connect(addr));
-                }
+            for addr in self.update_selection(Instant::now()) {
+                connectors.spawn(self.clone().connect(addr));
             }
+            let next_dial_at = self.selection.lock().next_dial_at();
+            let next_dial_at = next_dial_at.unwrap_or_else(|| Instant::now() + IDLE_INTERVAL);
             tokio::select! {
                 () = self.entries_changed.notified() => {}
                 Some(Ok(addr)) = connectors.join_next() => {
-                    log::info!(addr:%; "entry address removed: no session");
-                    // A seed address is dialed again after the next change of the entries.
-                    dialed.retain(|known| *known != addr);
-                    sleep(MAX_REDIAL_BACKOFF).await;
+                    self.selection.lock().closed(addr, Instant::now());
                 }
+                () = sleep_until(next_dial_at) => {}
             }
         }
     }
 
+    /// Applies the known entries to the selection and ends the sessions that it has replaced.
+    /// Returns the addresses to dial.
+    fn update_selection(self: &Arc<Self>, now: Instant) -> SmallVec<[SocketAddr; MAX_SESSIONS]> {
+        let entries = self.supervisor.lock().entries();
+        let seeds = self.seeds.lock().clone();
+        let (dials, replaced) = {
+            let mut selection = self.selection.lock();
+            selection.set_entries(&seeds, &entries, now);
+            (selection.dials(now), selection.replaced(now))
+        };
+        for session in replaced {
+            log::info!(session; "session replaced by one with another entry");
+            self.with_supervisor(|supervisor, now| supervisor.retire_session(session, now));
+        }
+        dials
+    }
+
+    /// Dials an address and serves the session until it ends. Returns the address.
     async fn connect(self: Arc<Self>, addr: SocketAddr) -> SocketAddr {
-        let mut backoff = MIN_REDIAL_BACKOFF;
-        let mut last_received = Instant::now();
-        while last_received.elapsed() < ADDR_RETENTION {
-            match timeout(HELLO_TIMEOUT, self.open(addr)).await {
-                Ok(Some((hello, link))) => {
-                    log::info!(entry:% = hello.name, addr:%; "session opened");
-                    self.serve(&hello, link).await;
-                    log::info!(entry:% = hello.name, addr:%; "session ended");
-                    last_received = Instant::now();
-                    backoff = MIN_REDIAL_BACKOFF;
-                }
-                Ok(None) | Err(_) => log::debug!(addr:%; "cannot open session"),
+        match timeout(HELLO_TIMEOUT, self.open(addr)).await {
+            Ok(Some((hello, link))) => {
+                log::info!(entry:% = hello.name, addr:%; "session opened");
+                self.serve(addr, &hello, link).await;
+                log::info!(entry:% = hello.name, addr:%; "session ended");
             }
-            sleep(backoff).await;
-            backoff = (backoff * 2).min(MAX_REDIAL_BACKOFF);
+            Ok(None) | Err(_) => log::debug!(addr:%; "cannot open session"),
         }
         addr
     }
@@ -102,7 +103,7 @@
         }
     }
 
-    async fn serve(self: &Arc<Self>, hello: &Hello, mut link: Link) {
+    async fn serve(self: &Arc<Self>, addr: SocketAddr, hello: &Hello, mut link: Link) {
         let session = {
             let mut next = self.next_session.lock();
             *next += 1;
@@ -114,6 +115,8 @@
         };
         self.senders.lock().insert(session, link.tx.clone());
         self.with_supervisor(|supervisor, now| supervisor.session_opened(&client, session, now));
+        self.selection.lock().opened(addr, session, Instant::now());
+        self.entries_changed.notify_one();
         self.receive_frames(session, &mut link).await;
         self.senders.lock().remove(&session);
         self.with_supervisor(|supervisor, _| supervisor.session_closed(session));
--- a/crates/masticcross-jobs/src/entry.rs
+++ b/crates/masticcross-jobs/src/entry.rs
@@ -17,6 +17,7 @@
 use crate::metrics::{self, EntryMetrics};
 use crate::scheduler::table::JobNumber;
 use crate::scheduler::{Effect, Scheduler, SessionId};
+use crate::supervisor::clients::update_addrs;
 
 /// Time without received frames after which a session is closed.
 const SESSION_TIMEOUT: Duration = Duration::from_millis(600);
@@ -156,17 +157,15 @@
     /// Adds or updates addresses of entries, and sends them to the agents if any changed.
     pub fn add_entries(&self, entries: &[EntryAddr]) {
         let mut state = self.state.lock();
-        let mut changed = false;
-        for entry in entries.iter().filter(|e| e.name != self.identity.addr.name) {
-            let before = state.entries.insert(entry.name.clone(), entry.clone());
-            changed |= before.as_ref() != Some(entry);
+        let others = entries.iter().filter(|e| e.name != self.identity.addr.name);
+        let others: Vec<EntryAddr> = others.cloned().collect();
+        let changed = update_addrs(&mut state.entries, &others);
+        if changed.is_empty() {
+            return;
         }
-        if changed {
-            let all: Vec<EntryAddr> = state.entries.values().cloned().collect();
-            let sessions: Vec<SessionId> = state.sessions.keys().copied().collect();
-            for session in sessions {
-                state.send(session, PoolFrame::Entries(all.clone()));
-            }
+        let sessions: Vec<SessionId> = state.sessions.keys().copied().collect();
+        for session in sessions {
+            state.send(session, PoolFrame::Entries(changed.clone()));
         }
     }
 
--- a/crates/masticcross-jobs/src/lib.rs
+++ b/crates/masticcross-jobs/src/lib.rs
@@ -16,6 +16,7 @@
 
 pub mod agent;
 pub mod entry;
+pub mod entry_selection;
 pub mod failure_attribution;
 pub mod health;
 pub mod job;
--- a/crates/masticcross-jobs/src/supervisor/clients.rs
+++ b/crates/masticcross-jobs/src/supervisor/clients.rs
@@ -43,6 +43,8 @@
     run_ended: bool,
     /// When the last answered probe was sent, or the session was opened.
     last_contact: Instant,
+    /// Since when the open session is being replaced by one with another entry, if it is.
+    retiring_since: Option<Instant>,
     /// Recent ends of runs, and when they were stored.
     ends: VecDeque<(Instant, RunEnd)>,
 }
@@ -55,6 +57,7 @@
             announced: None,
             run_ended: false,
             last_contact: now,
+            retiring_since: None,
             ends: VecDeque::new(),
         }
     }
@@ -64,6 +67,12 @@
         self.last_contact = self.last_contact.max(sent_at);
     }
 
+    /// Returns true if the open session is being replaced by one with another entry.
+    #[must_use]
+    pub fn is_retiring(&self) -> bool {
+        self.retiring_since.is_some()
+    }
+
     /// Returns true while the agent may act for the entry.
     #[must_use]
     pub fn has_authority(&self, now: Instant) -> bool {
@@ -78,6 +87,9 @@
         all: bool,
     ) -> Option<(SessionId, FreeResources)> {
         let session = self.session?;
+        if self.is_retiring() {
+            return None;
+        }
         let free = FreeResources {
             resources,
             requests_seen: self.requests_seen,
@@ -115,6 +127,25 @@
     }
 }
 
+/// Adds or updates addresses of entries. Returns those that changed.
+pub(crate) fn update_addrs(
+    addrs: &mut BTreeMap<Name, EntryAddr>,
+    entries: &[EntryAddr],
+) -> Vec<EntryAddr> {
+    let mut changed = Vec::new();
+    for entry in entries {
+        if let Some(known) = addrs.get_mut(&entry.name) {
+            if known.update(entry) {
+                changed.push(known.clone());
+            }
+        } else {
+            addrs.insert(entry.name.clone(), entry.clone());
+            changed.push(entry.clone());
+        }
+    }
+    changed
+}
+
 /// All entries known to an agent.
 #[derive(Debug, Default)]
 pub struct Clients {
@@ -131,6 +162,7 @@
         let replaced = client.session.replace(session);
         client.requests_seen = 0;
         client.announced = None;
+        client.retiring_since = None;
         client.record_contact(now);
         if let Some(replaced) = replaced {
             self.by_session.remove(&replaced);
@@ -171,9 +203,30 @@
         self.by_id.get_mut(id)
     }
 
-    /// Returns the open sessions.
+    /// Returns the open sessions, without those that are being replaced.
     pub fn sessions(&self) -> impl Iterator<Item = SessionId> + '_ {
-        self.by_id.values().filter_map(|client| client.session)
+        let clients = self.by_id.values().filter(|client| !client.is_retiring());
+        clients.filter_map(|client| client.session)
+    }
+
+    /// Marks a session as being replaced. Returns false if it is not open.
+    pub fn retire(&mut self, session: SessionId, now: Instant) -> bool {
+        let client = self.of_session(session);
+        client.is_some_and(|client| client.retiring_since.replace(now).is_none())
+    }
+
+    /// Returns the entries whose session has been marked as being replaced before the given time.
+    pub fn retired_before(
+        &self,
+        before: Instant,
+    ) -> impl Iterator<Item = (&ClientId, SessionId)> + '_ {
+        self.by_id.iter().filter_map(move |(id, client)| {
+            let is_due = client.retiring_since.is_some_and(|since| since < before);
+            client
+                .session
+                .filter(|_| is_due)
+                .map(|session| (id, session))
+        })
     }
 
     /// Returns the number of open sessions.
@@ -202,14 +255,9 @@
         });
     }
 
-    /// Adds or updates addresses of entries. Returns true if any address changed.
-    pub fn add_addrs(&mut self, entries: &[EntryAddr]) -> bool {
-        let mut changed = false;
-        for entry in entries {
-            let before = self.addrs.insert(entry.name.clone(), entry.clone());
-            changed |= before.as_ref() != Some(entry);
-        }
-        changed
+    /// Adds or updates addresses of entries. Returns those that changed.
+    pub fn add_addrs(&mut self, entries: &[EntryAddr]) -> Vec<EntryAddr> {
+        update_addrs(&mut self.addrs, entries)
     }
 
     /// Returns the addresses of all entries.
--- a/crates/masticcross-jobs/src/supervisor/mod.rs
+++ b/crates/masticcross-jobs/src/supervisor/mod.rs
@@ -31,7 +31,7 @@
 use crate::worker_client::{StartCall, StopCall, WorkerIncarnation};
 
 pub use calls::{POLL_WAIT, START_TIMEOUT};
-use clients::{ClientId, Clients};
+use clients::{Client, ClientId, Clients};
 use lease::Lease;
 use runs::{Phase, Run, Runs};
 
@@ -71,6 +71,8 @@
     Start(StartCall),
     /// Stop a run at the worker.
     Stop(StopCall),
+    /// Close a session.
+    Close(SessionId),
     /// Poll the worker now, without waiting for a run to end.
     Poll,
     /// Save the worker's report, so that a restarted agent can load it.
@@ -313,6 +315,7 @@
             }
         }
         self.send_stops(now);
+        self.close_retired_sessions(now);
         self.resolve_unanswered(now);
         self.mark_expired_runs_lost(now);
         let runs = &self.runs;
@@ -339,7 +342,7 @@
         let Some(info) = self.advertised(now) else {
             return Some(NotStartedReason::NoBackend);
         };
-        if info.leaving {
+        if info.leaving || self.clients.get(id).is_some_and(Client::is_retiring) {
             return Some(NotStartedReason::ShuttingDown);
         }
         if self.view.zones_out.contains(&info.zone) {
--- a/crates/masticcross-jobs/src/supervisor/notifications.rs
+++ b/crates/masticcross-jobs/src/supervisor/notifications.rs
@@ -13,7 +13,11 @@
 
 /// Largest number of sessions with which each change of the free resources is announced on all of
 /// them immediately. With more, an entry immediately gets only the changes by its own runs.
-const MAX_IMMEDIATE_SESSIONS: usize = 8;
+const MAX_IMMEDIATE_SESSIONS: usize = 4;
+
+/// Minimum time for which a replaced session stays open, so that the entry receives the end of its
+/// offer before the session closes, and the agent the run requests sent before that.
+const RETIRE_DELAY: Duration = Duration::from_millis(300);
 
 /// Interval at which changes by other entries' runs are announced if there are many sessions.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(20);
@@ -56,6 +60,27 @@
         self.clients.close(session);
     }
 
+    /// Starts ending a session that is replaced by one with another entry. The entry gets no further
+    /// resources; its current runs continue, and the session is closed after them.
+    pub fn retire_session(&mut self, session: SessionId, now: Instant) {
+        if self.clients.retire(session, now) {
+            self.effects
+                .push(Effect::Send(session, PoolFrame::Worker(None)));
+        }
+    }
+
+    /// Closes the replaced sessions whose entries have no runs left.
+    pub(super) fn close_retired_sessions(&mut self, now: Instant) {
+        let Some(before) = now.checked_sub(RETIRE_DELAY) else {
+            return;
+        };
+        let runs = &self.runs;
+        let retired = self.clients.retired_before(before);
+        let idle = retired.filter(|(id, _)| !runs.iter().any(|run| run.client == **id));
+        let closes = idle.map(|(_, session)| Effect::Close(session));
+        self.effects.extend(closes);
+    }
+
     /// Returns the timestamp for a probe.
     #[must_use]
     pub fn probe(&self, now: Instant) -> u64 {
@@ -71,14 +96,15 @@
         }
     }
 
-    /// Adds addresses of entries and sends them to all sessions if any changed. Returns true if so.
+    /// Adds addresses of entries and sends those that changed to all sessions. Returns true if any
+    /// changed.
     pub fn add_entries(&mut self, entries: &[EntryAddr]) -> bool {
         let changed = self.clients.add_addrs(entries);
-        if changed {
-            let all = self.clients.addrs();
-            self.send_all(&PoolFrame::Entries(all));
+        let any = !changed.is_empty();
+        if any {
+            self.send_all(&PoolFrame::Entries(changed));
         }
-        changed
+        any
     }
 
     /// Returns the known entries.
--- a/crates/masticcross-jobs/src/supervisor/tests.rs
+++ b/crates/masticcross-jobs/src/supervisor/tests.rs
@@ -572,6 +572,8 @@
         let entry = EntryAddr {
             name: "entry-2".into(),
             addr: "10.0.0.2:7000".parse().expect("an address"),
+            zone: None,
+            incarnation: 1,
         };
         f.step(|s, _| assert!(s.add_entries(std::slice::from_ref(&entry))));
         f.step(|s, _| assert!(!s.add_entries(std::slice::from_ref(&entry))));
--- a/crates/masticcross-jobs/tests/schedule/simulation.rs
+++ b/crates/masticcross-jobs/tests/schedule/simulation.rs
@@ -35,12 +35,14 @@
 const FAULTS_END_MS: u64 = 12_000;
 const END_MS: u64 = 24_000;
 
-/// Faults in a simulation: numbers of broken sessions and restarts, and share of lost calls.
+/// Faults in a simulation: numbers of broken sessions, restarts and replaced sessions, and share of
+/// lost calls.
 #[derive(Debug, Clone, Copy)]
 pub struct Faults {
     pub sessions: u32,
     pub calls: f64,
     pub restarts: u32,
+    pub replacements: u32,
 }
 
 struct Session {
@@ -85,6 +87,7 @@
     NoAnswer(usize, u64, StartCall),
     Submit(Name),
     Fault,
+    Replace,
 }
 
 /// Event with its time and a number that orders events of the same time.
@@ -181,6 +184,10 @@
             let at = simulation.rng.random_range(1_000..FAULTS_END_MS);
             simulation.after(at, Event::Fault);
         }
+        for _ in 0..faults.replacements {
+            let at = simulation.rng.random_range(1_000..FAULTS_END_MS);
+            simulation.after(at, Event::Replace);
+        }
         simulation
     }
 
@@ -242,6 +249,7 @@
             Event::NoAnswer(agent, incarnation, call) => self.no_answer(agent, incarnation, &call),
             Event::Submit(job) => self.submit(job),
             Event::Fault => self.inject_fault(),
+            Event::Replace => self.replace_session(),
         }
     }
 
@@ -506,6 +514,7 @@
                         self.after(1, Event::Stop(agent, call));
                     }
                 }
+                supervisor::Effect::Close(number) => self.close_session(agent, number),
                 supervisor::Effect::Poll => self.after(1, Event::Poll(agent, incarnation)),
                 supervisor::Effect::SaveReport(_) => {}
             }
@@ -649,6 +658,29 @@
         }
     }
 
+    /// Lets an agent end a session in order. It opens another one after that.
+    fn replace_session(&mut self) {
+        let (agent, entry) = (self.rng.random_range(0..3), self.rng.random_range(0..2));
+        let session = self.sessions.get(&(agent, entry));
+        let Some(number) = session.filter(|s| s.agent_open).map(|s| s.number) else {
+            return;
+        };
+        let now = self.instant();
+        self.agents[agent].supervisor.retire_session(number, now);
+        self.execute_agent_effects(agent);
+    }
+
+    fn close_session(&mut self, agent: usize, number: u64) {
+        let entry = (0..2).find(|entry| {
+            let session = self.sessions.get(&(agent, *entry));
+            session.is_some_and(|s| s.number == number)
+        });
+        if let Some(entry) = entry {
+            self.close_at_agent(agent, entry, number);
+            self.after(4, Event::EntryTimeout(agent, entry, number));
+        }
+    }
+
     fn break_session(&mut self, agent: usize, entry: usize) {
         let reset = self.rng.random_bool(0.5);
         let blocked_time = self.rng.random_range(100..3_000);
--- a/crates/masticcross-jobs/tests/schedules.rs
+++ b/crates/masticcross-jobs/tests/schedules.rs
@@ -37,18 +37,21 @@
 
 schedules! {
     without_faults_every_job_completes: 0..10,
-        Faults { sessions: 0, calls: 0.0, restarts: 0 },
+        Faults { sessions: 0, calls: 0.0, restarts: 0, replacements: 0 },
         |counts: &Counts| counts.completed == counts.submitted && counts.refused == 0;
     jobs_are_answered_despite_broken_sessions: 0..60,
-        Faults { sessions: 12, calls: 0.0, restarts: 0 },
+        Faults { sessions: 12, calls: 0.0, restarts: 0, replacements: 0 },
         |counts: &Counts| counts.completed > 0;
     jobs_are_answered_despite_lost_and_late_calls: 100..160,
-        Faults { sessions: 0, calls: 0.1, restarts: 0 },
+        Faults { sessions: 0, calls: 0.1, restarts: 0, replacements: 0 },
         |counts: &Counts| counts.lost_calls > 0 && counts.completed > 0;
     jobs_are_answered_despite_restarts_and_freezes: 200..260,
-        Faults { sessions: 0, calls: 0.0, restarts: 10 },
+        Faults { sessions: 0, calls: 0.0, restarts: 10, replacements: 0 },
         |counts: &Counts| counts.completed > 0;
+    replaced_sessions_cost_no_job: 400..460,
+        Faults { sessions: 0, calls: 0.0, restarts: 0, replacements: 60 },
+        |counts: &Counts| counts.completed == counts.submitted && counts.refused == 0;
     jobs_are_answered_despite_all_faults: 300..400,
-        Faults { sessions: 10, calls: 0.05, restarts: 8 },
+        Faults { sessions: 10, calls: 0.05, restarts: 8, replacements: 10 },
         |counts: &Counts| counts.lost_calls > 0 && counts.completed > 0;
 }
--- a/crates/masticcross-wire/src/codec/tests/pool.rs
+++ b/crates/masticcross-wire/src/codec/tests/pool.rs
@@ -19,6 +19,8 @@
         3 => PoolFrame::Entries(list(g, |g| EntryAddr {
             name: name(g),
             addr: ([10, 0, 0, u8::arbitrary(g)], u16::arbitrary(g)).into(),
+            zone: bool::arbitrary(g).then(|| name(g)),
+            incarnation: u64::arbitrary(g),
         })),
         4 => PoolFrame::Worker(bool::arbitrary(g).then(|| worker(g))),
         5 => PoolFrame::Free(FreeResources {
--- a/crates/masticcross-wire/src/pool.rs
+++ b/crates/masticcross-wire/src/pool.rs
@@ -1,7 +1,7 @@
 //! Messages about tasks with resources: an agent offers its worker's free resources, and entries
 //! send it runs to start.
 //!
-//! An agent belongs to one worker and connects to every entry. It alone decides what fits on its
+//! An agent belongs to one worker and connects to some or all entries. It alone decides what fits on its
 //! worker; an entry decides which task runs where. Runs belong to the entry's process, not to the
 //! session: they continue when a session breaks, and are still running when it is opened again.
 
@@ -217,6 +217,27 @@
     pub name: Name,
     /// Its address.
     pub addr: SocketAddr,
+    /// Its availability zone, if known.
+    pub zone: Option<Name>,
+    /// Incarnation of the process that announced the address.
+    pub incarnation: Incarnation,
+}
+
+impl EntryAddr {
+    /// Replaces this address with another one of the same entry, unless that is from an earlier
+    /// process of the entry. Returns true if the address or the zone changed.
+    pub fn update(&mut self, other: &Self) -> bool {
+        if other.incarnation < self.incarnation {
+            return false;
+        }
+        let changed = self.addr != other.addr || (other.zone.is_some() && self.zone != other.zone);
+        let zone = other.zone.clone().or_else(|| self.zone.take());
+        *self = Self {
+            zone,
+            ..other.clone()
+        };
+        changed
+    }
 }
 
 /// A message between an agent and an entry.
