--- a/crates/masticcross-jobs/src/agent/sessions.rs
+++ b/crates/masticcross-jobs/src/agent/sessions.rs
@@ -38,11 +38,12 @@
     pub(super) async fn session_loop(self: Arc<Self>) {
         let mut connectors: JoinSet<SocketAddr> = JoinSet::new();
         loop {
-            for addr in self.update_selection(Instant::now()) {
+            let now = Instant::now();
+            for addr in self.update_selection(now) {
                 connectors.spawn(self.clone().connect(addr));
             }
-            let next_dial_at = self.selection.lock().next_dial_at();
-            let next_dial_at = next_dial_at.unwrap_or_else(|| Instant::now() + IDLE_INTERVAL);
+            let next_dial_at = self.selection.lock().next_dial_at(now);
+            let next_dial_at = next_dial_at.unwrap_or(now + IDLE_INTERVAL);
             tokio::select! {
                 () = self.entries_changed.notified() => {}
                 Some(Ok(addr)) = connectors.join_next() => {
--- a/crates/masticcross-jobs/src/entry_selection.rs
+++ b/crates/masticcross-jobs/src/entry_selection.rs
@@ -189,14 +189,15 @@
         };
     }
 
-    /// Returns the next time at which an address may have to be dialed, if any.
+    /// Returns the next time after `now` at which an address may have to be dialed, if any. Addresses
+    /// that may be dialed already and were not selected wait for another one to change.
     #[must_use]
-    pub fn next_dial_at(&self) -> Option<Instant> {
+    pub fn next_dial_at(&self, now: Instant) -> Option<Instant> {
         let retry_times = self.candidates.iter().filter_map(|c| match c.status {
             Status::Closed { retry_at, .. } => Some(retry_at),
             _ => None,
         });
-        retry_times.min()
+        retry_times.filter(|retry_at| *retry_at > now).min()
     }
 
     /// Returns the number of open sessions, without those that are being ended.
--- a/crates/masticcross-jobs/tests/entry_selection.rs
+++ b/crates/masticcross-jobs/tests/entry_selection.rs
@@ -147,6 +147,8 @@
                 self.close(entry);
             }
             if dials.is_empty() {
+                let next = self.selection.next_dial_at(self.now);
+                assert!(next.is_none_or(|next| next > self.now));
                 return count;
             }
         }
