Refuse jobs at once that cannot be in time, and tell callers when to return

Cause: a job without room waited until 45% of its useful time had passed, so that in a long overload all jobs were started just before they became useless, and every refusal said 500 ms.

Change: module admission (no I/O). Once jobs have waited for 250 ms without a break, a job is refused when the work ahead of it, at the entry's recent share of the workers and less the arriving work of more urgent queues, takes longer than 0.7 of the time until its latest start in time, and no worker has room for it. The retry-after is the time until that work is done, spread by up to a half. Placement walks the waiting jobs only as far as it places, and shares the workers' properties instead of cloning them.

--- a/crates/masticcross-jobs/src/scheduler/closing.rs
+++ b/crates/masticcross-jobs/src/scheduler/closing.rs
@@ -10,9 +10,10 @@
 
 use crate::job::JobOutcome;
 
+use super::admission::{Backlog, Work, share_cpu};
 use super::table::{Job, JobNumber, TaskPos, TaskState};
 use super::worker::Worker;
-use super::{Effect, RETRY_AFTER_MS, Scheduler};
+use super::{Effect, Scheduler};
 
 impl Scheduler {
     /// Abandons a job whose deadline has passed or that can no longer end in time.
@@ -20,30 +21,98 @@
         let Some(job) = self.jobs.get(&number) else {
             return;
         };
-        let outcome = if now >= job.request.deadline {
-            abandoned(job, Code::DeadlineExceeded, "the caller's time has passed")
-        } else if !job.may_have_run() && now >= job.refuse_at() {
-            if self.serves(&job.queue.service) {
-                let detail = "no worker has room for the job in time";
-                abandoned(job, Code::Overloaded, detail)
+        let Some((code, detail)) = self.reason_to_abandon(job, now) else {
+            return;
+        };
+        let retry_after = self.backlog_of(number).retry_after(number);
+        let outcome = abandoned(job, code, detail, retry_after);
+        self.give_up(number, outcome, now);
+    }
+
+    fn reason_to_abandon(&self, job: &Job, now: Instant) -> Option<(Code, &'static str)> {
+        if now >= job.request.deadline {
+            return Some((Code::DeadlineExceeded, "the caller's time has passed"));
+        }
+        if !job.may_have_run() && now >= job.refuse_at() {
+            return Some(if self.serves(&job.queue.service) {
+                (Code::Overloaded, "no worker has room for the job in time")
             } else {
                 let detail = "no worker of the service is in contact with this entry";
-                abandoned(job, Code::NoBackend, detail)
-            }
-        } else if let Some(earliest) = earliest_end(job, now)
-            && earliest > job.useful_until()
-        {
-            if job.has_lost_runs() {
-                abandoned(
-                    job,
-                    Code::WorkerLost,
-                    "a lost run cannot be repeated in time",
-                )
+                (Code::NoBackend, detail)
+            });
+        }
+        if earliest_end(job, now)? <= job.useful_until() {
+            return None;
+        }
+        Some(if job.has_lost_runs() {
+            let detail = "a lost run cannot be repeated in time";
+            (Code::WorkerLost, detail)
+        } else {
+            let detail = "no worker has room for the rest of the job in time";
+            (Code::Overloaded, detail)
+        })
+    }
+
+    /// Refuses the jobs that have not started and have no chance to be in time, once jobs have waited
+    /// for a while. In a short burst a late answer is still better than none, and costs no other job its
+    /// time.
+    pub(super) fn refuse_hopeless_jobs(&mut self, now: Instant) {
+        self.record_share(now);
+        self.saturation.update(!self.waiting.is_empty(), now);
+        if !self.saturation.lasts(now) {
+            return;
+        }
+        let share_cpu = self.recent_share.highest();
+        let mut ahead: Work = 0;
+        let mut hopeless = Vec::new();
+        for (_, _, number) in &self.waiting {
+            let Some(job) = self.jobs.get(number) else {
+                continue;
+            };
+            let overtaking = self.arrivals.cpu_before(job.queue.priority, now);
+            let backlog = Backlog { ahead, share_cpu }.overtaken_by(overtaking);
+            let latest_start = job.latest_start().unwrap_or(now);
+            let has_chance = job.may_have_run()
+                || backlog.allows_start_by(latest_start, now)
+                || self.has_room_for(job, now);
+            if has_chance {
+                ahead = ahead.saturating_add(job.waiting_work());
             } else {
-                let detail = "no worker has room for the rest of the job in time";
-                abandoned(job, Code::Overloaded, detail)
+                hopeless.push((*number, backlog.retry_after(*number)));
             }
-        } else {
+        }
+        for (number, retry_after) in hopeless {
+            if let Some(job) = self.jobs.get(&number) {
+                let detail = "the jobs ahead of it take longer than it can wait";
+                let outcome = abandoned(job, Code::Overloaded, detail, retry_after);
+                self.give_up(number, outcome, now);
+            }
+        }
+    }
+
+    /// Returns what delays a job: the waiting tasks of the jobs before it, or of all jobs if it does
+    /// not wait itself.
+    fn backlog_of(&self, number: JobNumber) -> Backlog {
+        let rank = self.ranks.get(&number);
+        let before = self.waiting.iter().take_while(|other| Some(*other) != rank);
+        let jobs = before.filter_map(|(_, _, number)| self.jobs.get(number));
+        Backlog {
+            ahead: jobs.map(Job::waiting_work).sum(),
+            share_cpu: self.recent_share.highest(),
+        }
+    }
+
+    /// Records the entry's present share of the workers.
+    fn record_share(&mut self, now: Instant) {
+        let running = self.jobs.values().map(Job::running_cpu).sum();
+        let usable = self.workers.values().filter_map(|w| w.info.as_ref());
+        let usable = usable.filter(|info| !info.leaving);
+        let usable = usable.map(|info| info.capacity.cpu).sum();
+        self.recent_share.add(share_cpu(running, usable), now);
+    }
+
+    fn give_up(&mut self, number: JobNumber, outcome: JobOutcome, now: Instant) {
+        let Some(job) = self.jobs.get(&number) else {
             return;
         };
         let free_cpu: u64 = self.workers.values().map(|worker| worker.free().cpu).sum();
@@ -133,11 +202,12 @@
 
 /// Returns the outcome of an abandoned job. It is "not run" only if it is certain that no run has
 /// started.
-fn abandoned(job: &Job, code: Code, detail: &str) -> JobOutcome {
+fn abandoned(job: &Job, code: Code, detail: &str, retry_after: Duration) -> JobOutcome {
     let refusal = if job.may_have_run() {
         Refusal::failed(code, detail)
     } else {
         Refusal::not_run(code, detail)
     };
-    JobOutcome::Refused(refusal.retry_after_ms(RETRY_AFTER_MS))
+    let retry_after_ms = u32::try_from(retry_after.as_millis()).unwrap_or(u32::MAX);
+    JobOutcome::Refused(refusal.retry_after_ms(retry_after_ms))
 }
--- a/crates/masticcross-jobs/src/scheduler/mod.rs
+++ b/crates/masticcross-jobs/src/scheduler/mod.rs
@@ -1,5 +1,6 @@
 //! The entry's decisions: which task runs where and when, and how jobs are answered.
 //!
+//! - [`admission`]: which waiting jobs are refused, and when refused callers should return.
 //! - [`table`]: jobs and the state of their tasks.
 //! - [`worker`]: workers and what their agents report.
 //! - `placement`: choice of task and worker.
@@ -9,6 +10,7 @@
 //! This module does no I/O and never blocks. Methods take the current time and queue [`Effect`]s,
 //! which the caller must execute in the order in which they were queued.
 
+pub mod admission;
 mod closing;
 mod ends;
 mod placement;
@@ -19,6 +21,7 @@
 mod tests;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 use masticcross_basics::{Code, Name};
@@ -31,6 +34,7 @@
 use crate::job::{JobOutcome, JobRequest};
 use crate::run_times::RunTimes;
 
+use admission::{ArrivalRates, RecentShare, Saturation};
 use table::{Job, JobNumber, TaskPos, TaskState, Urgency};
 use worker::Worker;
 
@@ -41,7 +45,7 @@
 /// agent's authority (600 ms), the lease (1 s on a clock 2% slow), and the time to stop them.
 const LOST_CONTACT_TIMEOUT: Duration = Duration::from_millis(1_750);
 
-/// Retry-after of a refused or abandoned job, in milliseconds.
+/// Retry-after of a job that is refused because the entry has no configuration yet, in milliseconds.
 const RETRY_AFTER_MS: u32 = 500;
 
 /// An action that the caller of the scheduler must execute.
@@ -81,6 +85,9 @@
     /// Ratios of actual to expected run times. A ratio of 1 is stored as one second.
     ratios: RunTimes,
     failure_attribution: FailureAttribution<JobNumber, Name>,
+    recent_share: RecentShare,
+    arrivals: ArrivalRates,
+    saturation: Saturation,
     effects: Vec<Effect>,
 }
 
@@ -99,6 +106,9 @@
             next_job: 1,
             ratios: RunTimes::default(),
             failure_attribution: FailureAttribution::default(),
+            recent_share: RecentShare::default(),
+            arrivals: ArrivalRates::default(),
+            saturation: Saturation::default(),
             effects: Vec::new(),
         }
     }
@@ -169,10 +179,15 @@
             usable_workers = self.gauges().workers, jobs_waiting = self.waiting.len();
             "job taken"
         );
+        self.arrivals
+            .add(job.queue.priority, job.request.work(), now);
         self.by_id.insert(id, number);
         self.jobs.insert(number, job);
         self.rank(number, now);
         self.place(now);
+        if self.ranks.contains_key(&number) {
+            self.refuse_hopeless_jobs(now);
+        }
         Ok(number)
     }
 
@@ -230,7 +245,7 @@
             return;
         };
         let usable = info.is_some();
-        worker.info = info;
+        worker.info = info.map(Arc::new);
         if usable {
             self.reconcile_unreachable(name, now);
         }
@@ -284,6 +299,7 @@
             self.abandon_if_too_late(number, now);
         }
         self.place(now);
+        self.refuse_hopeless_jobs(now);
     }
 
     /// Returns the number of jobs in a queue of which no task can have started.
--- a/crates/masticcross-jobs/src/scheduler/placement.rs
+++ b/crates/masticcross-jobs/src/scheduler/placement.rs
@@ -1,6 +1,7 @@
 //! Choice of tasks and workers.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, Bound};
+use std::sync::Arc;
 
 use masticcross_basics::Name;
 use masticcross_wire::pool::{PoolFrame, Resources, RunRequest, WorkerInfo};
@@ -18,7 +19,7 @@
 /// A worker that can get runs now.
 struct Candidate {
     name: Name,
-    info: WorkerInfo,
+    info: Arc<WorkerInfo>,
     free: Resources,
     slots: u32,
 }
@@ -32,15 +33,19 @@
         let mut candidates = self.candidates(now);
         let mut run_requests: BTreeMap<Name, Vec<RunRequest>> = BTreeMap::new();
         let mut skipped = 0;
-        let numbers: Vec<JobNumber> = self.waiting.iter().map(|rank| rank.2).collect();
-        for number in numbers {
+        let mut next = self.waiting.first().copied();
+        while let Some(rank) = next {
             if candidates.is_empty() || skipped >= MAX_SKIPPED_JOBS {
                 break;
             }
+            let number = rank.2;
             if !self.place_job(number, &mut candidates, &mut run_requests, now) {
                 skipped += 1;
             }
+            // Ranks the job among those before the next one if its first task has just been sent.
             self.rank(number, now);
+            let after = (Bound::Excluded(rank), Bound::Unbounded);
+            next = self.waiting.range(after).next().copied();
         }
         for (name, run_requests) in run_requests {
             let session = self.workers.get(&name).and_then(|worker| worker.session);
@@ -82,6 +87,14 @@
         true
     }
 
+    /// Returns true if a worker has room for a waiting task of a job.
+    pub(super) fn has_room_for(&self, job: &Job, now: Instant) -> bool {
+        let waiting = job.waiting();
+        let candidates = self.candidates(now);
+        let fits = |pos: &TaskPos| candidates.iter().any(|c| accepts(job, *pos, c));
+        waiting.iter().any(fits)
+    }
+
     fn candidates(&self, now: Instant) -> Vec<Candidate> {
         let Some(view) = &self.view else {
             return Vec::new();
--- a/crates/masticcross-jobs/src/scheduler/table.rs
+++ b/crates/masticcross-jobs/src/scheduler/table.rs
@@ -9,6 +9,8 @@
 
 use crate::job::{JobRequest, StepRequest};
 
+use super::admission::Work;
+
 /// Number of a job at this entry.
 pub type JobNumber = u64;
 
@@ -258,14 +260,38 @@
         Duration::from_millis(longest.into())
     }
 
+    /// Returns the latest start of the remaining tasks at which the answer is of use.
+    #[must_use]
+    pub fn latest_useful_start(&self) -> Instant {
+        let useful = self.useful_until();
+        let latest = useful.checked_sub(self.expected_remaining_time());
+        latest.unwrap_or(useful)
+    }
+
+    /// Returns the CPU time of the tasks that wait.
+    #[must_use]
+    pub fn waiting_work(&self) -> Work {
+        let waits = |(_, task): &(TaskPos, &Task)| task.state == TaskState::Waiting;
+        let work = |(pos, _): (TaskPos, &Task)| {
+            let step = self.step(pos);
+            step.resources.cpu.saturating_mul(step.expected_ms.into())
+        };
+        self.tasks().filter(waits).map(work).sum()
+    }
+
+    /// Returns the CPU of the job's runs, in thousandths of a core.
+    #[must_use]
+    pub fn running_cpu(&self) -> u64 {
+        let runs = |(_, task): &(TaskPos, &Task)| matches!(task.state, TaskState::Running(_));
+        let running = self.tasks().filter(runs);
+        running.map(|(pos, _)| self.step(pos).resources.cpu).sum()
+    }
+
     /// Returns the time at which the job is refused if it has not started.
     #[must_use]
     pub fn refuse_at(&self) -> Instant {
-        let useful = self.useful_until();
-        let useful_time = useful.saturating_duration_since(self.arrived);
-        let latest_start = useful
-            .checked_sub(self.expected_remaining_time())
-            .unwrap_or(useful);
+        let useful_time = self.useful_until().saturating_duration_since(self.arrived);
+        let latest_start = self.latest_useful_start();
         latest_start.min(self.arrived + useful_time.mul_f64(REFUSE_AFTER_SHARE))
     }
 
--- a/crates/masticcross-jobs/src/scheduler/worker.rs
+++ b/crates/masticcross-jobs/src/scheduler/worker.rs
@@ -1,6 +1,7 @@
 //! A worker, as reported to the entry by the worker's agent.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 use std::time::Duration;
 
 use masticcross_basics::Name;
@@ -32,7 +33,7 @@
     /// Open session with its agent, if any.
     pub session: Option<SessionId>,
     /// Information sent by its agent; none while the worker cannot be used.
-    pub info: Option<WorkerInfo>,
+    pub info: Option<Arc<WorkerInfo>>,
     /// Health according to the ends of its runs.
     pub health: Health,
     /// Runs of this entry that may be at the worker.
--- a/crates/masticcross-jobs/tests/entry_selection.rs
+++ b/crates/masticcross-jobs/tests/entry_selection.rs
@@ -74,7 +74,9 @@
         let mut agent = AgentSessions::new(3, 35);
         let dials = agent.dial_all(&[]);
         let before = agent.open_entries();
-        before.iter().for_each(|entry| agent.close(*entry));
+        for entry in &before {
+            agent.close(*entry);
+        }
         let redials = agent.run(Duration::from_millis(200), &[]);
         assert_eq!(agent.open_entries(), before);
         assert_eq!((dials, redials, agent.retired), (MAX_SESSIONS, MAX_SESSIONS, 0));
