Give a job time to hear of its runs after an agent's session broke

Cause: a job with a run at an agent whose session broke was given up at the next tick (20 ms) if the run could not be repeated in time, and the run was stopped; a reset connection is open again after some 30 ms with the run still at work.

Change: until the agent has surely stopped the run for lack of contact (600 ms), the run counts as one that may still end. What is known to be lost is still given up at once.

Tests: two that failed before (a reset connection; an end during the silence), and the existing one now checks both sides of the limit, 580 and 600 ms, instead of 20 ms only.

--- a/crates/masticcross-jobs/src/scheduler/closing.rs
+++ b/crates/masticcross-jobs/src/scheduler/closing.rs
@@ -9,11 +9,12 @@
 use tokio::time::Instant;
 
 use crate::job::JobOutcome;
+use crate::supervisor::clients::AUTHORITY_TIMEOUT;
 
 use super::admission::{Backlog, Work, share_cpu};
 use super::table::{Job, JobNumber, TaskPos, TaskState};
 use super::worker::Worker;
-use super::{Effect, Scheduler};
+use super::{Effect, LOST_CONTACT_TIMEOUT, Scheduler};
 
 impl Scheduler {
     /// Abandons a job whose deadline has passed or that can no longer end in time.
@@ -191,6 +192,7 @@
 fn earliest_end(job: &Job, now: Instant) -> Option<Instant> {
     let expected = |pos: TaskPos| Duration::from_millis(job.step(pos).expected_ms.into());
     let ends = job.tasks().filter_map(|(pos, task)| match &task.state {
+        TaskState::Unreachable(_, until) if may_still_end(*until, now) => Some(now),
         TaskState::Unreachable(_, until) | TaskState::Delayed(until) => {
             Some((*until).max(now) + expected(pos))
         }
@@ -200,6 +202,12 @@
     ends.max()
 }
 
+/// Returns true if an unreachable run, which is confirmed gone at `gone_at`, may still end at its
+/// worker. The agent stops it when it has had no contact with this entry for [`AUTHORITY_TIMEOUT`].
+fn may_still_end(gone_at: Instant, now: Instant) -> bool {
+    now + (LOST_CONTACT_TIMEOUT - AUTHORITY_TIMEOUT) < gone_at
+}
+
 /// Returns the outcome of an abandoned job. It is "not run" only if it is certain that no run has
 /// started.
 fn abandoned(job: &Job, code: Code, detail: &str, retry_after: Duration) -> JobOutcome {
--- a/crates/masticcross-jobs/src/scheduler/tests.rs
+++ b/crates/masticcross-jobs/src/scheduler/tests.rs
@@ -14,6 +14,7 @@
 use super::table::JobNumber;
 use super::{Effect, LOST_CONTACT_TIMEOUT, Scheduler, SessionId};
 use crate::job::{JobOutcome, JobRequest, StepRequest};
+use crate::supervisor::clients::AUTHORITY_TIMEOUT;
 
 /// Defines one test per case.
 macro_rules! cases {
@@ -101,6 +102,26 @@
         self.step(|s, now| s.session_closed(&name(session), session, now));
     }
 
+    /// Opens the session of an agent again, in the order of its frames.
+    fn reconnect(&mut self, session: SessionId, running: Vec<RunId>, done: Vec<RunId>) {
+        let name = name(session);
+        let done = done.into_iter().map(|id| RunEnd {
+            id,
+            result: RunResult::Done,
+            took_ms: 100,
+        });
+        let resume = Resume {
+            entry: 1,
+            running,
+            ended: done.collect(),
+            complete: true,
+        };
+        self.step(|s, now| s.session_opened(&name, 1, session, now));
+        self.step(|s, now| s.resumed(&name, session, &resume, now));
+        let info = worker("zone-a", 8);
+        self.step(|s, now| s.worker_changed(&name, session, Some(info), now));
+    }
+
     fn submit(&mut self, request: JobRequest) -> JobNumber {
         self.step(|s, now| s.submit(request, now))
             .expect("accepted")
@@ -301,10 +322,35 @@
         let mut f = Fixture::with_worker(8);
         f.submit(f.job("a", smallvec![tasks(1, 2)]));
         f.disconnect(1);
+        f.advance(AUTHORITY_TIMEOUT.checked_sub(Duration::from_millis(20)).expect("longer"));
+        assert_eq!(f.outcomes(), vec![], "the run may still end at its worker");
         f.advance(Duration::from_millis(20));
         assert_eq!(f.refusal(), (Code::WorkerLost, false));
     };
 
+    a_run_survives_a_reset_connection => |_| {
+        let mut f = Fixture::with_worker(8);
+        f.submit(f.job("a", smallvec![tasks(1, 2)]));
+        let run = f.sent[0].1.id.clone();
+        f.disconnect(1);
+        f.advance(Duration::from_millis(100));
+        f.reconnect(1, vec![run.clone()], vec![]);
+        f.advance(Duration::from_millis(20));
+        f.end(1, &run, RunResult::Done);
+        assert_eq!((f.outcomes(), f.stopped.len()), (vec![JobOutcome::Completed], 0));
+    };
+
+    a_run_that_ended_while_its_agent_was_silent_is_not_repeated => |_| {
+        let mut f = Fixture::with_worker(8);
+        f.connect(2, 1, worker("zone-a", 8));
+        f.submit(f.job("a", smallvec![tasks(1, 2)]));
+        let (session, run) = (f.sent[0].0, f.sent[0].1.id.clone());
+        f.disconnect(session);
+        f.advance(Duration::from_millis(500));
+        f.reconnect(session, vec![], vec![run]);
+        assert_eq!((f.outcomes(), f.sent.len()), (vec![JobOutcome::Completed], 1));
+    };
+
     a_job_whose_runs_never_started_is_refused_as_not_run => |_| {
         let mut f = Fixture::with_worker(8);
         f.submit(f.job("a", smallvec![tasks(1, 2)]));
