--- a/crates/masticcross-jobs/src/agent/mod.rs
+++ b/crates/masticcross-jobs/src/agent/mod.rs
@@ -24,6 +24,7 @@
 use crate::metrics::{self, AgentMetrics};
 use crate::report_store::WorkerReportStore;
 use crate::supervisor::{Effect, SessionId, Supervisor, WorkerReport};
+use crate::suspension::SuspensionDetector;
 use crate::worker_client::WorkerClient;
 
 /// Interval of the supervisor's ticks.
@@ -47,6 +48,7 @@
 pub struct Agent {
     identity: AgentIdentity,
     supervisor: Mutex<Supervisor>,
+    suspension: Mutex<SuspensionDetector>,
     senders: Mutex<BTreeMap<SessionId, mpsc::Sender<Frame>>>,
     metrics: AgentMetrics,
     client: Arc<dyn WorkerClient>,
@@ -82,6 +84,7 @@
             )),
             identity,
             supervisor: Mutex::new(Supervisor::new(lease, unix_ms, Instant::now())),
+            suspension: Mutex::new(SuspensionDetector::start()),
             senders: Mutex::default(),
             client,
             store,
@@ -151,6 +154,10 @@
     ) -> T {
         let (result, effects) = {
             let mut supervisor = self.supervisor.lock();
+            if let Some(time) = self.suspension.lock().check() {
+                log::warn!(ms = time.as_millis(); "host was suspended");
+                supervisor.suspended_for(time);
+            }
             let result = f(&mut supervisor, Instant::now());
             (result, supervisor.take_effects())
         };
--- a/crates/masticcross-jobs/src/job.rs
+++ b/crates/masticcross-jobs/src/job.rs
@@ -89,9 +89,10 @@
     #[must_use]
     pub fn work(&self) -> u64 {
         let work = |s: &StepRequest| {
-            s.resources.cpu.saturating_mul(u64::from(s.expected_ms)) * u64::from(s.count)
+            let task = s.resources.cpu.saturating_mul(s.expected_ms.into());
+            task.saturating_mul(s.count.into())
         };
-        self.steps.iter().map(work).sum()
+        self.steps.iter().map(work).fold(0, u64::saturating_add)
     }
 }
 
--- a/crates/masticcross-jobs/src/lib.rs
+++ b/crates/masticcross-jobs/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod run_times;
 pub mod scheduler;
 pub mod supervisor;
+pub mod suspension;
 pub mod worker_client;
 
 pub use agent::Agent;
--- a/crates/masticcross-jobs/src/scheduler/admission.rs
+++ b/crates/masticcross-jobs/src/scheduler/admission.rs
@@ -104,7 +104,8 @@
     #[must_use]
     pub fn cpu_before(&self, priority: u32, now: Instant) -> u64 {
         let before = self.by_priority.range(..priority);
-        before.map(|(_, arrived)| arrived.cpu(now)).sum()
+        let cpu = before.map(|(_, arrived)| arrived.cpu(now));
+        cpu.fold(0, u64::saturating_add)
     }
 }
 
--- a/crates/masticcross-jobs/src/scheduler/closing.rs
+++ b/crates/masticcross-jobs/src/scheduler/closing.rs
@@ -98,17 +98,19 @@
         let before = self.waiting.iter().take_while(|other| Some(*other) != rank);
         let jobs = before.filter_map(|(_, _, number)| self.jobs.get(number));
         Backlog {
-            ahead: jobs.map(Job::waiting_work).sum(),
+            ahead: jobs.map(Job::waiting_work).fold(0, u64::saturating_add),
             share_cpu: self.recent_share.highest(),
         }
     }
 
     /// Records the entry's present share of the workers.
     fn record_share(&mut self, now: Instant) {
-        let running = self.jobs.values().map(Job::running_cpu).sum();
+        let running = self.jobs.values().map(Job::running_cpu);
+        let running = running.fold(0, u64::saturating_add);
         let usable = self.workers.values().filter_map(|w| w.info.as_ref());
         let usable = usable.filter(|info| !info.leaving);
-        let usable = usable.map(|info| info.capacity.cpu).sum();
+        let usable = usable.map(|info| info.capacity.cpu);
+        let usable = usable.fold(0, u64::saturating_add);
         self.recent_share.add(share_cpu(running, usable), now);
     }
 
@@ -116,7 +118,8 @@
         let Some(job) = self.jobs.get(&number) else {
             return;
         };
-        let free_cpu: u64 = self.workers.values().map(|worker| worker.free().cpu).sum();
+        let free_cpu = self.workers.values().map(|worker| worker.free().cpu);
+        let free_cpu = free_cpu.fold(0, u64::saturating_add);
         log::info!(
             job:% = job.request.id, waited_ms = now.saturating_duration_since(job.arrived).as_millis(),
             objective_ms = job.objective.as_millis(), began = job.may_have_run(), late = job.is_late(now),
@@ -205,7 +208,7 @@
 /// Returns true if an unreachable run, which is confirmed gone at `gone_at`, may still end at its
 /// worker. The agent stops it when it has had no contact with this entry for [`AUTHORITY_TIMEOUT`].
 fn may_still_end(gone_at: Instant, now: Instant) -> bool {
-    now + (LOST_CONTACT_TIMEOUT - AUTHORITY_TIMEOUT) < gone_at
+    now + LOST_CONTACT_TIMEOUT < gone_at + AUTHORITY_TIMEOUT
 }
 
 /// Returns the outcome of an abandoned job. It is "not run" only if it is certain that no run has
--- a/crates/masticcross-jobs/src/scheduler/table.rs
+++ b/crates/masticcross-jobs/src/scheduler/table.rs
@@ -21,6 +21,9 @@
 /// documentation).
 const LATE_FACTOR: u32 = 3;
 
+/// Maximum factor on the run time of a queue's objective.
+const MAX_STRETCH: f64 = 1_000.0;
+
 /// Share of the time in which an answer is of use after which a job that has not started is refused.
 /// It is less than half, so that the caller has the other half for an alternative.
 const REFUSE_AFTER_SHARE: f64 = 0.45;
@@ -97,7 +100,7 @@
     pub fn new(request: JobRequest, queue: Queue, arrived: Instant) -> Self {
         let chain = Duration::from_millis(request.longest_chain_ms());
         let target = Duration::from_millis(queue.latency_target_ms.into());
-        let objective = chain.mul_f64(queue.stretch.max(1.0)) + target;
+        let objective = chain.mul_f64(stretch(&queue)) + target;
         let tasks: Vec<Vec<Task>> = request.steps.iter().map(new_tasks).collect();
         let open = tasks.iter().map(Vec::len).sum();
         Self {
@@ -276,7 +279,8 @@
             let step = self.step(pos);
             step.resources.cpu.saturating_mul(step.expected_ms.into())
         };
-        self.tasks().filter(waits).map(work).sum()
+        let work = self.tasks().filter(waits).map(work);
+        work.fold(0, u64::saturating_add)
     }
 
     /// Returns the CPU of the job's runs, in thousandths of a core.
@@ -284,7 +288,8 @@
     pub fn running_cpu(&self) -> u64 {
         let runs = |(_, task): &(TaskPos, &Task)| matches!(task.state, TaskState::Running(_));
         let running = self.tasks().filter(runs);
-        running.map(|(pos, _)| self.step(pos).resources.cpu).sum()
+        let cpu = running.map(|(pos, _)| self.step(pos).resources.cpu);
+        cpu.fold(0, u64::saturating_add)
     }
 
     /// Returns the time at which the job is refused if it has not started.
@@ -315,6 +320,15 @@
     }
 }
 
+/// Returns the factor on the run time of a queue's objective, within limits in which a duration can be
+/// multiplied by it.
+fn stretch(queue: &Queue) -> f64 {
+    if queue.stretch.is_nan() {
+        return 1.0;
+    }
+    queue.stretch.clamp(1.0, MAX_STRETCH)
+}
+
 fn new_tasks(step: &StepRequest) -> Vec<Task> {
     let state = if step.after.is_empty() {
         TaskState::Waiting
--- a/crates/masticcross-jobs/src/supervisor/clients.rs
+++ b/crates/masticcross-jobs/src/supervisor/clients.rs
@@ -247,6 +247,14 @@
             .collect()
     }
 
+    /// Makes the last contact with each entry older by the given time.
+    pub fn age_contacts(&mut self, time: Duration) {
+        for client in self.by_id.values_mut() {
+            let aged = client.last_contact.checked_sub(time);
+            client.last_contact = aged.unwrap_or(client.last_contact);
+        }
+    }
+
     /// Removes entries without a session, recent contact and runs.
     pub fn remove_inactive(&mut self, has_runs: impl Fn(&ClientId) -> bool, now: Instant) {
         self.by_id.retain(|id, client| {
--- a/crates/masticcross-jobs/src/supervisor/lease.rs
+++ b/crates/masticcross-jobs/src/supervisor/lease.rs
@@ -52,7 +52,7 @@
 
     /// Raises the token, so that the worker refuses earlier calls once a later one has arrived.
     pub fn raise_token(&mut self) {
-        self.token += 1;
+        self.token = self.token.saturating_add(1);
     }
 
     /// Raises the token above those that the worker has received from an earlier process of the agent.
@@ -78,7 +78,7 @@
     /// Returns the end of a lease requested now, on the worker's clock, and records the request.
     /// Returns `None` until the worker's clock is known.
     pub fn extend(&mut self, now: Instant) -> Option<u64> {
-        let until = self.clock_at(now)? + millis(self.length);
+        let until = self.clock_at(now)?.saturating_add(millis(self.length));
         self.sent_at = Some(now);
         Some(until)
     }
@@ -94,7 +94,7 @@
 
     fn clock_at(&self, now: Instant) -> Option<u64> {
         let (clock, at) = self.clock?;
-        Some(clock + millis(now.saturating_duration_since(at)))
+        Some(clock.saturating_add(millis(now.saturating_duration_since(at))))
     }
 }
 
--- a/crates/masticcross-jobs/src/supervisor/mod.rs
+++ b/crates/masticcross-jobs/src/supervisor/mod.rs
@@ -327,6 +327,15 @@
         self.publish(now);
     }
 
+    /// Applies a suspension of the host, during which the clock stood still. The entries' clocks went on,
+    /// so the last contacts are that much older than they seem.
+    pub fn suspended_for(&mut self, time: Duration) {
+        self.clients.age_contacts(time);
+        if let Some(base) = self.probe_base.checked_sub(time) {
+            self.probe_base = base;
+        }
+    }
+
     /// Refuses new runs from now on. Current runs continue.
     pub fn close(&mut self, now: Instant) {
         self.closing = true;
--- a/crates/masticcross-jobs/src/supervisor/tests.rs
+++ b/crates/masticcross-jobs/src/supervisor/tests.rs
@@ -252,6 +252,33 @@
 }
 
 cases! {
+    an_address_of_an_earlier_process_of_an_entry_is_not_used_again => |mut f: Fixture| {
+        let entry = |port: u16, incarnation| EntryAddr {
+            name: "entry-2".into(),
+            addr: ([10, 0, 0, 2], port).into(),
+            zone: None,
+            incarnation,
+        };
+        f.step(|s, _| assert!(s.add_entries(&[entry(7001, 2)])));
+        f.step(|s, _| assert!(!s.add_entries(&[entry(7000, 1)])));
+        assert_eq!(f.supervisor.entries(), vec![entry(7001, 2)]);
+    };
+
+    a_suspended_agent_does_not_start_runs_for_entries_that_have_given_it_up => |mut f: Fixture| {
+        let probe = f.supervisor.probe(f.now);
+        f.advance(Duration::from_millis(5));
+        f.step(|s, _| s.suspended_for(Duration::from_secs(2)));
+        f.submit(request(0, 2));
+        // The answer to a probe from before the suspension may arrive after it.
+        f.step(|s, now| s.echoed(SESSION, probe, now));
+        f.submit(request(1, 2));
+        let not_started = RunResult::NotStarted(NotStartedReason::ViewStale);
+        assert_eq!(f.results(), vec![not_started, not_started]);
+        f.advance_in_contact(Duration::from_millis(5));
+        f.submit(request(2, 2));
+        assert!(f.take_start().is_some());
+    };
+
     resources_stay_reserved_until_the_end_is_listed => |mut f: Fixture| {
         f.start_run(0, 6);
         assert_eq!(f.free_cores(), 4);
