Send the operator view only to processes that ask for it

Both sides of a session sent their whole operator view when it opened, and an entry sent each new one on all its sessions.

Change: processes announce the position of their view; the other side asks for it if it is newer, on one session at a time, and on another one after 500 ms (view_fetch). Tests: one request for eight announcements, another session after a timeout, no view unless requested.

--- a/crates/masticcross-jobs/src/agent/sessions.rs
+++ b/crates/masticcross-jobs/src/agent/sessions.rs
@@ -157,6 +157,12 @@
             PoolFrame::Echo(probe) => {
                 self.with_supervisor(|supervisor, now| supervisor.echoed(session, probe, now));
             }
+            PoolFrame::ViewPosition(position) => self.with_supervisor(|supervisor, now| {
+                supervisor.view_announced(session, position, now);
+            }),
+            PoolFrame::FetchView => {
+                self.with_supervisor(|supervisor, _| supervisor.send_view(session));
+            }
             PoolFrame::View(view) => {
                 self.with_supervisor(|supervisor, now| supervisor.update_view(session, *view, now));
             }
--- a/crates/masticcross-jobs/src/entry.rs
+++ b/crates/masticcross-jobs/src/entry.rs
@@ -311,6 +311,10 @@
                 self.metrics.runs_ended(&ends);
                 state.scheduler.ended(agent, session, &ends, now);
             }
+            PoolFrame::ViewPosition(position) => {
+                state.scheduler.view_announced(session, position, now);
+            }
+            PoolFrame::FetchView => state.scheduler.send_view(session),
             PoolFrame::View(view) => {
                 state.scheduler.update_view(*view);
             }
--- a/crates/masticcross-jobs/src/scheduler/mod.rs
+++ b/crates/masticcross-jobs/src/scheduler/mod.rs
@@ -33,6 +33,7 @@
 use crate::failure_attribution::FailureAttribution;
 use crate::job::{JobOutcome, JobRequest};
 use crate::run_times::RunTimes;
+use crate::view_fetch::ViewFetch;
 
 use admission::{ArrivalRates, RecentShare, Saturation};
 use table::{Job, JobNumber, TaskPos, TaskState, Urgency};
@@ -88,6 +89,7 @@
     recent_share: RecentShare,
     arrivals: ArrivalRates,
     saturation: Saturation,
+    view_fetch: ViewFetch,
     effects: Vec<Effect>,
 }
 
@@ -109,6 +111,7 @@
             recent_share: RecentShare::default(),
             arrivals: ArrivalRates::default(),
             saturation: Saturation::default(),
+            view_fetch: ViewFetch::default(),
             effects: Vec::new(),
         }
     }
@@ -135,7 +138,7 @@
         self.view.as_ref()
     }
 
-    /// Applies an operator view if it is newer, and sends it to all agents. Returns true if it is.
+    /// Applies an operator view if it is newer, and announces it to all agents. Returns true if it is.
     pub fn update_view(&mut self, view: OperatorView) -> bool {
         let current_position = self.view.as_ref().map(|v| v.position);
         if current_position.is_some_and(|position| view.position <= position) || view.position == 0
@@ -149,7 +152,7 @@
         );
         let sessions: Vec<SessionId> = self.workers.values().filter_map(|w| w.session).collect();
         for session in sessions {
-            let frame = PoolFrame::View(Box::new(view.clone()));
+            let frame = PoolFrame::ViewPosition(view.position);
             self.effects.push(Effect::Send(session, frame));
         }
         self.view = Some(view);
@@ -213,12 +216,34 @@
             let worker = Worker::new(name.clone(), incarnation, session, now);
             self.workers.insert(name.clone(), worker);
         }
+        if let Some(view) = &self.view {
+            let frame = PoolFrame::ViewPosition(view.position);
+            self.effects.push(Effect::Send(session, frame));
+        }
+    }
+
+    /// Applies the position of the operator view that an agent announced.
+    pub fn view_announced(&mut self, session: SessionId, position: u64, now: Instant) {
+        self.view_fetch.announced(session, position);
+        self.fetch_view(now);
+    }
+
+    /// Sends the operator view on a session whose agent asked for it.
+    pub fn send_view(&mut self, session: SessionId) {
         if let Some(view) = &self.view {
             let frame = PoolFrame::View(Box::new(view.clone()));
             self.effects.push(Effect::Send(session, frame));
         }
     }
 
+    fn fetch_view(&mut self, now: Instant) {
+        let position = self.view.as_ref().map_or(0, |view| view.position);
+        if let Some(session) = self.view_fetch.next(position, now) {
+            self.effects
+                .push(Effect::Send(session, PoolFrame::FetchView));
+        }
+    }
+
     /// Handles the end of a session, unless a newer one has replaced it.
     pub fn session_closed(&mut self, name: &Name, session: SessionId, now: Instant) {
         let Some(worker) = self.workers.get_mut(name) else {
@@ -227,6 +252,7 @@
         if worker.session != Some(session) {
             return;
         }
+        self.view_fetch.closed(session);
         worker.session = None;
         worker.info = None;
         self.mark_unreachable(name, now);
@@ -293,6 +319,7 @@
 
     /// Applies delays and timeouts, and places waiting tasks.
     pub fn tick(&mut self, now: Instant) {
+        self.fetch_view(now);
         let numbers: Vec<JobNumber> = self.jobs.keys().copied().collect();
         for number in numbers {
             self.release_delayed_tasks(number, now);
--- a/crates/masticcross-jobs/src/scheduler/tests.rs
+++ b/crates/masticcross-jobs/src/scheduler/tests.rs
@@ -231,6 +231,29 @@
 }
 
 cases! {
+    sessions_and_changes_cost_no_operator_view_unless_it_is_requested => |mut f: Fixture| {
+        let mut views = 0;
+        for session in 1..38 {
+            f.scheduler.session_opened(&name(session), 1, session, f.now);
+        }
+        let view = OperatorView { position: 2, ..OperatorView::default() };
+        f.scheduler.update_view(view);
+        f.scheduler.send_view(7);
+        for effect in f.scheduler.take_effects() {
+            views += usize::from(matches!(effect, Effect::Send(_, PoolFrame::View(_))));
+        }
+        assert_eq!(views, 1);
+    };
+
+    an_entry_without_the_store_fetches_a_newer_operator_view_from_an_agent => |mut f: Fixture| {
+        f.scheduler.session_opened(&name(1), 1, 1, f.now);
+        f.scheduler.take_effects();
+        f.scheduler.view_announced(1, 9, f.now);
+        let effects = f.scheduler.take_effects();
+        assert!(matches!(effects[..], [Effect::Send(1, PoolFrame::FetchView)]), "{effects:?}");
+    };
+
+
     a_job_completes_when_all_tasks_are_done => |_| {
         let mut f = Fixture::with_worker(8);
         f.submit(f.job("a", smallvec![tasks(2, 2)]));
--- a/crates/masticcross-jobs/src/supervisor/mod.rs
+++ b/crates/masticcross-jobs/src/supervisor/mod.rs
@@ -28,6 +28,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
+use crate::view_fetch::ViewFetch;
 use crate::worker_client::{StartCall, StopCall, WorkerIncarnation};
 
 pub use calls::{POLL_WAIT, START_TIMEOUT};
@@ -112,6 +113,7 @@
     runs: Runs,
     clients: Clients,
     view: OperatorView,
+    view_fetch: ViewFetch,
     closing: bool,
     /// True once the worker has listed its runs and no run of an earlier agent process is left.
     runs_complete: bool,
@@ -134,6 +136,7 @@
             runs: Runs::default(),
             clients: Clients::default(),
             view: OperatorView::default(),
+            view_fetch: ViewFetch::default(),
             closing: false,
             runs_complete: false,
             saturated_at: None,
@@ -316,6 +319,7 @@
         }
         self.send_stops(now);
         self.close_retired_sessions(now);
+        self.fetch_view(now);
         self.resolve_unanswered(now);
         self.mark_expired_runs_lost(now);
         let runs = &self.runs;
--- a/crates/masticcross-jobs/src/supervisor/notifications.rs
+++ b/crates/masticcross-jobs/src/supervisor/notifications.rs
@@ -41,7 +41,7 @@
         };
         let frames = [
             PoolFrame::Entries(self.clients.addrs()),
-            PoolFrame::View(Box::new(self.view.clone())),
+            PoolFrame::ViewPosition(self.view.position),
             PoolFrame::Resume(resume),
             PoolFrame::Worker(self.advertised(now)),
         ];
@@ -58,6 +58,7 @@
     /// Handles the end of a session. Runs of the entry continue until its authority times out.
     pub fn session_closed(&mut self, session: SessionId) {
         self.clients.close(session);
+        self.view_fetch.closed(session);
     }
 
     /// Starts ending a session that is replaced by one with another entry. The entry gets no further
@@ -113,7 +114,26 @@
         self.clients.addrs()
     }
 
-    /// Applies an operator view if it is newer, and forwards it to the other entries.
+    /// Applies the position of the operator view that an entry announced.
+    pub fn view_announced(&mut self, session: SessionId, position: u64, now: Instant) {
+        self.view_fetch.announced(session, position);
+        self.fetch_view(now);
+    }
+
+    /// Sends the operator view on a session whose entry asked for it.
+    pub fn send_view(&mut self, session: SessionId) {
+        let frame = PoolFrame::View(Box::new(self.view.clone()));
+        self.effects.push(Effect::Send(session, frame));
+    }
+
+    pub(super) fn fetch_view(&mut self, now: Instant) {
+        if let Some(session) = self.view_fetch.next(self.view.position, now) {
+            self.effects
+                .push(Effect::Send(session, PoolFrame::FetchView));
+        }
+    }
+
+    /// Applies an operator view if it is newer, and announces it to the other entries.
     pub fn update_view(&mut self, session: SessionId, view: OperatorView, now: Instant) {
         if view.position <= self.view.position {
             return;
@@ -122,7 +142,7 @@
         self.view = view;
         let sessions: Vec<SessionId> = self.clients.sessions().collect();
         for other in sessions.into_iter().filter(|s| *s != session) {
-            let frame = PoolFrame::View(Box::new(self.view.clone()));
+            let frame = PoolFrame::ViewPosition(self.view.position);
             self.effects.push(Effect::Send(other, frame));
         }
         self.publish(now);
--- a/crates/masticcross-jobs/src/supervisor/tests.rs
+++ b/crates/masticcross-jobs/src/supervisor/tests.rs
@@ -175,6 +175,15 @@
         announced.collect()
     }
 
+    /// Returns the sessions on which the operator view was requested.
+    fn view_requests(&self) -> Vec<SessionId> {
+        let request = |effect: &Effect| match effect {
+            Effect::Send(session, PoolFrame::FetchView) => Some(*session),
+            _ => None,
+        };
+        self.effects.iter().filter_map(request).collect()
+    }
+
     fn free_cores(&self) -> u64 {
         self.supervisor.gauges(self.now).free.cpu / 1_000
     }
@@ -253,6 +262,45 @@
 }
 
 cases! {
+    the_operator_view_is_fetched_once_when_all_entries_announce_it => |mut f: Fixture| {
+        for session in 2..9 {
+            f.step(|s, now| s.session_opened(&client(session), session, now));
+        }
+        for session in 1..9 {
+            f.step(|s, now| s.view_announced(session, 5, now));
+        }
+        assert_eq!(f.view_requests().len(), 1);
+        let view = OperatorView { position: 5, ..OperatorView::default() };
+        let session = f.view_requests()[0];
+        f.step(|s, now| s.update_view(session, view, now));
+        f.advance(Duration::from_secs(2));
+        assert_eq!(f.view_requests().len(), 1);
+    };
+
+    the_operator_view_is_fetched_elsewhere_if_it_does_not_arrive => |mut f: Fixture| {
+        f.step(|s, now| s.session_opened(&client(2), 2, now));
+        f.step(|s, now| s.view_announced(SESSION, 5, now));
+        f.step(|s, now| s.view_announced(2, 5, now));
+        f.advance(Duration::from_secs(1));
+        assert_eq!(f.view_requests(), vec![SESSION, 2]);
+        f.step(|s, _| s.session_closed(2));
+        f.advance(Duration::from_millis(20));
+        assert_eq!(f.view_requests(), vec![SESSION, 2, SESSION]);
+    };
+
+    an_operator_view_is_sent_only_on_request => |mut f: Fixture| {
+        let view = OperatorView { position: 5, ..OperatorView::default() };
+        f.step(|s, now| s.update_view(SESSION, view, now));
+        f.step(|s, now| s.session_opened(&client(2), 2, now));
+        let views = |f: &Fixture| {
+            let is_view = |e: &&Effect| matches!(e, Effect::Send(2, PoolFrame::View(_)));
+            f.effects.iter().filter(is_view).count()
+        };
+        assert_eq!(views(&f), 0);
+        f.step(|s, _| s.send_view(2));
+        assert_eq!(views(&f), 1);
+    };
+
     an_address_of_an_earlier_process_of_an_entry_is_not_used_again => |mut f: Fixture| {
         let entry = |port: u16, incarnation| EntryAddr {
             name: "entry-2".into(),
--- a/crates/masticcross-jobs/tests/extreme_input.rs
+++ b/crates/masticcross-jobs/tests/extreme_input.rs
@@ -131,7 +131,8 @@
 fn act_on_scheduler(scheduler: &mut Scheduler, kind: u8, mut n: Numbers, now: Instant) {
     let session = 1 + u64::from(n.small());
     let agent = format!("agent-{session}").into();
-    match kind % 9 {
+    match kind % 10 {
+        8 => scheduler.view_announced(session, n.next(), now),
         0 => {
             scheduler.update_view(n.view());
         }
@@ -178,7 +179,8 @@
 
 fn act_on_supervisor(supervisor: &mut Supervisor, kind: u8, mut n: Numbers, now: Instant) {
     let session = 1 + u64::from(n.small());
-    match kind % 8 {
+    match kind % 9 {
+        7 => supervisor.view_announced(session, n.next(), now),
         0 => {
             let client = ClientId {
                 name: format!("entry-{session}").into(),
--- a/crates/masticcross-jobs/tests/schedule/simulation.rs
+++ b/crates/masticcross-jobs/tests/schedule/simulation.rs
@@ -445,6 +445,8 @@
         match frame {
             PoolFrame::Echo(probe) => supervisor.echoed(number, probe, now),
             PoolFrame::View(view) => supervisor.update_view(number, *view, now),
+            PoolFrame::ViewPosition(position) => supervisor.view_announced(number, position, now),
+            PoolFrame::FetchView => supervisor.send_view(number),
             PoolFrame::Run(requests) => supervisor.run(number, requests, now),
             PoolFrame::Stop(ids) => supervisor.stop(number, &ids, now),
             other => panic!("{} sent to an agent", other.kind()),
@@ -473,7 +475,14 @@
             PoolFrame::Free(free) => state.scheduler.update_free(&name, number, free, now),
             PoolFrame::Resume(resume) => state.scheduler.resumed(&name, number, &resume, now),
             PoolFrame::Ended(ends) => state.scheduler.ended(&name, number, &ends, now),
-            PoolFrame::View(_) | PoolFrame::Entries(_) => {}
+            PoolFrame::View(view) => {
+                state.scheduler.update_view(*view);
+            }
+            PoolFrame::ViewPosition(position) => {
+                state.scheduler.view_announced(number, position, now);
+            }
+            PoolFrame::FetchView => state.scheduler.send_view(number),
+            PoolFrame::Entries(_) => {}
             other => panic!("{} sent to an entry", other.kind()),
         }
         self.execute_entry_effects(entry);
--- a/crates/masticcross-wire/src/codec/tests/pool.rs
+++ b/crates/masticcross-wire/src/codec/tests/pool.rs
@@ -12,7 +12,7 @@
 
 /// Generates a message of any kind.
 pub fn frame(g: &mut Gen) -> PoolFrame {
-    match u8::arbitrary(g) % 10 {
+    match u8::arbitrary(g) % 12 {
         0 => PoolFrame::Probe(u64::arbitrary(g)),
         1 => PoolFrame::Echo(u64::arbitrary(g)),
         2 => PoolFrame::View(Box::new(view(g))),
@@ -35,6 +35,8 @@
         }),
         7 => PoolFrame::Run(list(g, request)),
         8 => PoolFrame::Stop(list(g, run)),
+        9 => PoolFrame::ViewPosition(u64::arbitrary(g)),
+        10 => PoolFrame::FetchView,
         _ => PoolFrame::Ended(list(g, end)),
     }
 }
--- a/crates/masticcross-wire/src/pool.rs
+++ b/crates/masticcross-wire/src/pool.rs
@@ -247,7 +247,11 @@
     Probe(u64),
     /// From the entry: the time of a probe, sent back.
     Echo(u64),
-    /// From either: operator settings, if they may be new to the receiver.
+    /// From either: position of the sender's operator settings.
+    ViewPosition(u64),
+    /// From either: a request for the operator settings.
+    FetchView,
+    /// From either: operator settings, as requested.
     View(Box<OperatorView>),
     /// From either: the entries known to the sender.
     Entries(Vec<EntryAddr>),
@@ -272,6 +276,8 @@
         match self {
             Self::Probe(_) => "probe",
             Self::Echo(_) => "echo",
+            Self::ViewPosition(_) => "view_position",
+            Self::FetchView => "fetch_view",
             Self::View(_) => "operator_view",
             Self::Entries(_) => "entries",
             Self::Worker(_) => "worker",
@@ -287,7 +293,12 @@
     #[must_use]
     pub(crate) fn part_count(&self) -> usize {
         match self {
-            Self::Probe(_) | Self::Echo(_) | Self::Worker(_) | Self::Free(_) => 1,
+            Self::Probe(_)
+            | Self::Echo(_)
+            | Self::ViewPosition(_)
+            | Self::FetchView
+            | Self::Worker(_)
+            | Self::Free(_) => 1,
             Self::View(view) => view.queues.len() * 2 + view.services.len() + 1,
             Self::Entries(entries) => entries.len(),
             Self::Resume(resume) => resume.running.len() + resume.ended.len(),
