Leave jobs without a worker in contact to the refusal that sends callers elsewhere

Cause, found on reading: with no worker in contact for 250 ms, waiting jobs were refused for overload, which is final for callers on the users' platform; after "no worker in contact" they try another entry. Change: such jobs are not counted as hopeless. The test fails without the line. The constants of admission stand together, and the search for hopeless jobs is a function of its own.

--- a/crates/masticcross-jobs/src/scheduler/admission.rs
+++ b/crates/masticcross-jobs/src/scheduler/admission.rs
@@ -33,15 +33,6 @@
 /// Number of different times in the spread.
 const SPREAD_STEPS: u64 = 64;
 
-/// What delays a job at an entry.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct Backlog {
-    /// Work of the waiting tasks that go before the job.
-    pub ahead: Work,
-    /// CPU on which the entry's tasks can run at a time, in thousandths of a core; 0 if unknown.
-    pub share_cpu: u64,
-}
-
 /// Time after which a lower share of the workers counts. An entry loses sight of workers for less than
 /// this when connections are reset or sessions move.
 const SHARE_WINDOW: Duration = Duration::from_secs(1);
@@ -49,6 +40,9 @@
 /// Time for which jobs have to wait for room until jobs without a chance are refused.
 const SATURATION_TIME: Duration = Duration::from_millis(250);
 
+/// Window of the rate at which work arrives.
+const ARRIVAL_WINDOW: Duration = Duration::from_millis(500);
+
 /// Whether jobs have been waiting for room.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Saturation {
@@ -78,9 +72,6 @@
     previous: Work,
 }
 
-/// Window of the rate at which work arrives.
-const ARRIVAL_WINDOW: Duration = Duration::from_millis(500);
-
 /// Rate at which work arrives, by the priority of its queue.
 #[derive(Debug, Clone, Default)]
 pub struct ArrivalRates {
@@ -166,6 +157,15 @@
     running.max(usable / sharing)
 }
 
+/// What delays a job at an entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Backlog {
+    /// Work of the waiting tasks that go before the job.
+    pub ahead: Work,
+    /// CPU on which the entry's tasks can run at a time, in thousandths of a core; 0 if unknown.
+    pub share_cpu: u64,
+}
+
 impl Backlog {
     /// Returns the same backlog for a job that later work overtakes, which takes the given CPU.
     #[must_use]
--- a/crates/masticcross-jobs/src/scheduler/closing.rs
+++ b/crates/masticcross-jobs/src/scheduler/closing.rs
@@ -63,6 +63,20 @@
         if !self.saturation.lasts(now) {
             return;
         }
+        let hopeless = self.find_hopeless_jobs(now);
+        for (number, retry_after) in hopeless {
+            if let Some(job) = self.jobs.get(&number) {
+                let detail = "the jobs ahead of it take longer than it can wait";
+                let outcome = abandoned(job, Code::Overloaded, detail, retry_after);
+                self.give_up(number, outcome, now);
+            }
+        }
+    }
+
+    /// Returns the waiting jobs without a chance to be in time, and when their callers should return.
+    /// Jobs of a service without a worker in contact are left to another refusal, after which their
+    /// callers try another entry.
+    fn find_hopeless_jobs(&self, now: Instant) -> Vec<(JobNumber, Duration)> {
         let share_cpu = self.recent_share.highest();
         let mut ahead: Work = 0;
         let mut hopeless = Vec::new();
@@ -75,6 +89,7 @@
             let latest_start = job.latest_start().unwrap_or(now);
             let has_chance = job.may_have_run()
                 || backlog.allows_start_by(latest_start, now)
+                || !self.serves(&job.queue.service)
                 || self.has_room_for(job, now);
             if has_chance {
                 ahead = ahead.saturating_add(job.waiting_work());
@@ -82,13 +97,7 @@
                 hopeless.push((*number, backlog.retry_after(*number)));
             }
         }
-        for (number, retry_after) in hopeless {
-            if let Some(job) = self.jobs.get(&number) {
-                let detail = "the jobs ahead of it take longer than it can wait";
-                let outcome = abandoned(job, Code::Overloaded, detail, retry_after);
-                self.give_up(number, outcome, now);
-            }
-        }
+        hopeless
     }
 
     /// Returns what delays a job: the waiting tasks of the jobs before it, or of all jobs if it does
--- a/crates/masticcross-jobs/src/scheduler/tests.rs
+++ b/crates/masticcross-jobs/src/scheduler/tests.rs
@@ -231,6 +231,23 @@
 }
 
 cases! {
+    without_a_worker_in_contact_no_job_is_refused_as_overload => |_| {
+        let mut f = Fixture::with_worker(4);
+        f.advance(Duration::from_millis(20));
+        f.disconnect(1);
+        for number in 0..20 {
+            f.submit(f.job(&format!("job-{number}"), smallvec![tasks(4, 4)]));
+        }
+        f.advance(Duration::from_millis(260));
+        assert_eq!(f.outcomes(), vec![]);
+        f.advance(Duration::from_millis(40));
+        let refused = |outcome: &JobOutcome| match outcome {
+            JobOutcome::Refused(refusal) => refusal.code == Code::NoBackend && refusal.not_run,
+            _ => false,
+        };
+        assert_eq!(f.outcomes().iter().filter(|outcome| refused(outcome)).count(), 20);
+    };
+
     sessions_and_changes_cost_no_operator_view_unless_it_is_requested => |mut f: Fixture| {
         let mut views = 0;
         for session in 1..38 {
