Forget the announcements of replaced sessions, and give the operator view its own module

Cause, found on reading: when an agent opened a second session before the end of the first was noticed, the position announced on the first one stayed, and every other request for the operator view went to a session that no longer exists. Change: a session is forgotten whenever it closes. The test asks for two requests on the open session.

--- a/crates/masticcross-jobs/src/scheduler/mod.rs
+++ b/crates/masticcross-jobs/src/scheduler/mod.rs
@@ -6,6 +6,7 @@
 //! - `placement`: choice of task and worker.
 //! - `ends`: handling of the ends of runs.
 //! - `closing`: ends of jobs.
+//! - `operator_view`: the operators' settings, and their exchange with agents.
 //!
 //! This module does no I/O and never blocks. Methods take the current time and queue [`Effect`]s,
 //! which the caller must execute in the order in which they were queued.
@@ -13,6 +14,7 @@
 pub mod admission;
 mod closing;
 mod ends;
+mod operator_view;
 mod placement;
 pub mod table;
 pub mod worker;
@@ -138,27 +140,6 @@
         self.view.as_ref()
     }
 
-    /// Applies an operator view if it is newer, and announces it to all agents. Returns true if it is.
-    pub fn update_view(&mut self, view: OperatorView) -> bool {
-        let current_position = self.view.as_ref().map(|v| v.position);
-        if current_position.is_some_and(|position| view.position <= position) || view.position == 0
-        {
-            return false;
-        }
-        log::info!(
-            position = view.position, version = view.config_version,
-            zones_out:? = view.zones_out;
-            "operators' orders"
-        );
-        let sessions: Vec<SessionId> = self.workers.values().filter_map(|w| w.session).collect();
-        for session in sessions {
-            let frame = PoolFrame::ViewPosition(view.position);
-            self.effects.push(Effect::Send(session, frame));
-        }
-        self.view = Some(view);
-        true
-    }
-
     /// Accepts a job. Returns the number of the existing job if one with the same id is open.
     ///
     /// # Errors
@@ -222,37 +203,15 @@
         }
     }
 
-    /// Applies the position of the operator view that an agent announced.
-    pub fn view_announced(&mut self, session: SessionId, position: u64, now: Instant) {
-        self.view_fetch.announced(session, position);
-        self.fetch_view(now);
-    }
-
-    /// Sends the operator view on a session whose agent asked for it.
-    pub fn send_view(&mut self, session: SessionId) {
-        if let Some(view) = &self.view {
-            let frame = PoolFrame::View(Box::new(view.clone()));
-            self.effects.push(Effect::Send(session, frame));
-        }
-    }
-
-    fn fetch_view(&mut self, now: Instant) {
-        let position = self.view.as_ref().map_or(0, |view| view.position);
-        if let Some(session) = self.view_fetch.next(position, now) {
-            self.effects
-                .push(Effect::Send(session, PoolFrame::FetchView));
-        }
-    }
-
     /// Handles the end of a session, unless a newer one has replaced it.
     pub fn session_closed(&mut self, name: &Name, session: SessionId, now: Instant) {
+        self.view_fetch.closed(session);
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
         if worker.session != Some(session) {
             return;
         }
-        self.view_fetch.closed(session);
         worker.session = None;
         worker.info = None;
         self.mark_unreachable(name, now);
--- a/crates/masticcross-jobs/src/scheduler/tests.rs
+++ b/crates/masticcross-jobs/src/scheduler/tests.rs
@@ -231,6 +231,22 @@
 }
 
 cases! {
+
+    the_operator_view_is_not_fetched_on_a_session_that_was_replaced => |mut f: Fixture| {
+        f.scheduler.session_opened(&name(1), 1, 1, f.now);
+        f.scheduler.session_opened(&name(1), 1, 2, f.now);
+        f.scheduler.view_announced(1, 9, f.now);
+        f.scheduler.view_announced(2, 9, f.now);
+        f.scheduler.session_closed(&name(1), 1, f.now);
+        f.scheduler.take_effects();
+        f.now += SECOND;
+        f.scheduler.tick(f.now);
+        f.now += SECOND;
+        f.scheduler.tick(f.now);
+        let effects = f.scheduler.take_effects();
+        let is_fetch = |e: &Effect| matches!(e, Effect::Send(2, PoolFrame::FetchView));
+        assert!(effects.len() == 2 && effects.iter().all(is_fetch), "{effects:?}");
+    };
     without_a_worker_in_contact_no_job_is_refused_as_overload => |_| {
         let mut f = Fixture::with_worker(4);
         f.advance(Duration::from_millis(20));
