Show which operator view decides, how old it is and why it is not newer

The users' monitoring keeps the last 16 kB of an entry's log, and no metric showed the version in force, its age, reads of the store that fail, or why sessions end.

--- a/crates/masticcross-jobs/src/entry.rs
+++ b/crates/masticcross-jobs/src/entry.rs
@@ -14,9 +14,9 @@
 use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
 
 use crate::job::{JobOutcome, JobRequest};
-use crate::metrics::{self, EntryMetrics};
+use crate::metrics::{self, EntryMetrics, SessionEnd, ViewRead, ViewSource};
 use crate::scheduler::table::JobNumber;
-use crate::scheduler::{Effect, Scheduler, SessionId};
+use crate::scheduler::{Effect, Scheduler, SessionId, ViewStatus};
 use crate::supervisor::clients::update_addrs;
 
 /// Time without received frames after which a session is closed.
@@ -101,8 +101,25 @@
     /// Returns all metrics in the Prometheus text format.
     #[must_use]
     pub fn metrics_text(&self) -> String {
-        let gauges = self.state.lock().scheduler.gauges();
-        self.metrics.text(gauges)
+        let (gauges, view) = {
+            let scheduler = &self.state.lock().scheduler;
+            (scheduler.gauges(), scheduler.view_status(Instant::now()))
+        };
+        self.metrics.text(gauges, view)
+    }
+
+    /// Returns which operator view is in force, and how old the knowledge is.
+    #[must_use]
+    pub fn view_status(&self) -> ViewStatus {
+        self.state.lock().scheduler.view_status(Instant::now())
+    }
+
+    /// Records the result of a read of the operators' records.
+    pub fn view_read(&self, read: ViewRead) {
+        self.metrics.view_read(read);
+        if read.is_complete() {
+            self.state.lock().scheduler.view_confirmed(Instant::now());
+        }
     }
 
     /// Cancels a job. Returns false if this entry does not have it.
@@ -149,9 +166,23 @@
         self.state.lock().scheduler.view().map(f)
     }
 
-    /// Applies an operator view if it is newer.
+    /// Applies an operator view from the operators' records if it is newer.
     pub fn update_view(&self, view: OperatorView) {
-        self.with_state(|state, _| state.scheduler.update_view(view));
+        self.with_state(|state, _| self.apply_view(state, view, ViewSource::Records));
+    }
+
+    fn apply_view(&self, state: &mut State, view: OperatorView, source: ViewSource) {
+        if !state.scheduler.update_view(view) {
+            return;
+        }
+        self.metrics.view_updated(source);
+        if let Some(view) = state.scheduler.view() {
+            log::info!(
+                position = view.position, version = view.config_version,
+                zones_out:? = view.zones_out, source = source.label();
+                "operators' orders"
+            );
+        }
     }
 
     /// Adds or updates addresses of entries, and sends them to the agents if any changed.
@@ -250,8 +281,9 @@
         }
         let session = self.open(&hello, &link);
         log::info!(agent:% = hello.name, session; "session opened");
-        self.receive_frames(&hello.name, session, &mut link).await;
-        log::info!(agent:% = hello.name, session; "session ended");
+        let end = self.receive_frames(&hello.name, session, &mut link).await;
+        self.metrics.session_ended(end);
+        log::info!(agent:% = hello.name, session, reason = end.label(); "session ended");
         self.with_state(|state, now| {
             state.sessions.remove(&session);
             state.scheduler.session_closed(&hello.name, session, now);
@@ -282,17 +314,23 @@
         })
     }
 
-    async fn receive_frames(&self, agent: &Name, session: SessionId, link: &mut Link) {
+    async fn receive_frames(
+        &self,
+        agent: &Name,
+        session: SessionId,
+        link: &mut Link,
+    ) -> SessionEnd {
         loop {
             match timeout(SESSION_TIMEOUT, link.rx.recv()).await {
                 Ok(Some(Frame::Pool(frame))) => self.handle(agent, session, frame),
                 Ok(Some(other)) => {
                     log::warn!(session, frame = other.kind(); "unexpected frame");
                 }
-                Ok(None) | Err(_) => return,
+                Ok(None) => return SessionEnd::Closed,
+                Err(_) => return SessionEnd::Silent,
             }
             if !self.state.lock().sessions.contains_key(&session) {
-                return;
+                return SessionEnd::QueueFull;
             }
         }
     }
@@ -315,9 +353,7 @@
                 state.scheduler.view_announced(session, position, now);
             }
             PoolFrame::FetchView => state.scheduler.send_view(session),
-            PoolFrame::View(view) => {
-                state.scheduler.update_view(*view);
-            }
+            PoolFrame::View(view) => self.apply_view(state, *view, ViewSource::Session),
             PoolFrame::Entries(_)
             | PoolFrame::Resume(_)
             | PoolFrame::Echo(_)
--- a/crates/masticcross-jobs/src/metrics.rs
+++ b/crates/masticcross-jobs/src/metrics.rs
@@ -4,12 +4,12 @@
 
 use masticcross_wire::pool::{RunEnd, RunResult};
 use prometheus::{
-    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
 };
 
 use crate::job::JobOutcome;
-use crate::scheduler::SchedulerGauges;
+use crate::scheduler::{SchedulerGauges, ViewStatus};
 use crate::supervisor::SupervisorGauges;
 
 /// Result of registering metrics.
@@ -32,6 +32,97 @@
     jobs: IntGauge,
     waiting: IntGauge,
     workers: IntGauge,
+    config_version: IntGauge,
+    view_position: IntGauge,
+    view_age: Gauge,
+    view_reads: IntCounterVec,
+    view_updates: IntCounterVec,
+    session_ends: IntCounterVec,
+}
+
+/// Result of a read of the operators' records.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ViewRead {
+    /// There were new records.
+    Changed,
+    /// There were no new records.
+    Unchanged,
+    /// The records at the position are no longer stored; the newest ones are read next.
+    Truncated,
+    /// The connection could not be established or was closed.
+    Disconnected,
+    /// The time limit passed before the first byte of the answer's body.
+    TimedOut,
+    /// The time limit passed after a part of the answer's body.
+    TimedOutInBody,
+    /// The read was rejected.
+    Refused,
+    /// The answer could not be decoded.
+    Malformed,
+}
+
+impl ViewRead {
+    /// Returns true if the read has shown which records are the newest.
+    #[must_use]
+    pub fn is_complete(self) -> bool {
+        matches!(self, Self::Changed | Self::Unchanged)
+    }
+
+    fn label(self) -> &'static str {
+        match self {
+            Self::Changed => "changed",
+            Self::Unchanged => "unchanged",
+            Self::Truncated => "truncated",
+            Self::Disconnected => "disconnected",
+            Self::TimedOut => "timed_out",
+            Self::TimedOutInBody => "timed_out_in_body",
+            Self::Refused => "refused",
+            Self::Malformed => "malformed",
+        }
+    }
+}
+
+/// Where an operator view came from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ViewSource {
+    /// The operators' records.
+    Records,
+    /// Another process.
+    Session,
+}
+
+impl ViewSource {
+    /// Returns the label for logs and metrics.
+    #[must_use]
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Records => "records",
+            Self::Session => "session",
+        }
+    }
+}
+
+/// Why an entry ended a session.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SessionEnd {
+    /// The agent closed it or its connection broke.
+    Closed,
+    /// No frame was received in time.
+    Silent,
+    /// The queue of frames to the agent was full.
+    QueueFull,
+}
+
+impl SessionEnd {
+    /// Returns the label for logs and metrics.
+    #[must_use]
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Closed => "closed",
+            Self::Silent => "silent",
+            Self::QueueFull => "queue_full",
+        }
+    }
 }
 
 impl EntryMetrics {
@@ -58,6 +149,30 @@
                 "Jobs with tasks that wait for room",
             )?,
             workers: gauge(&registry, "workers_usable", "Workers that can be used")?,
+            config_version: gauge(
+                &registry,
+                "config_version",
+                "Version of the configuration in force",
+            )?,
+            view_position: gauge(
+                &registry,
+                "view_position",
+                "Position of the operator view in force",
+            )?,
+            view_age: view_age(&registry)?,
+            view_reads: counters(
+                &registry,
+                "view_reads_total",
+                "Reads of the operators' records",
+                "result",
+            )?,
+            view_updates: counters(
+                &registry,
+                "view_updates_total",
+                "Operator views applied",
+                "source",
+            )?,
+            session_ends: counters(&registry, "session_ends_total", "Sessions ended", "reason")?,
             registry,
         })
     }
@@ -87,12 +202,31 @@
         count_ends(&self.run_ends, ends);
     }
 
+    /// Counts a read of the operators' records.
+    pub fn view_read(&self, read: ViewRead) {
+        self.view_reads.with_label_values(&[read.label()]).inc();
+    }
+
+    /// Counts an operator view that was applied.
+    pub fn view_updated(&self, source: ViewSource) {
+        self.view_updates.with_label_values(&[source.label()]).inc();
+    }
+
+    /// Counts a session that has ended.
+    pub fn session_ended(&self, end: SessionEnd) {
+        self.session_ends.with_label_values(&[end.label()]).inc();
+    }
+
     /// Returns all metrics in the Prometheus text format.
     #[must_use]
-    pub fn text(&self, gauges: SchedulerGauges) -> String {
+    pub fn text(&self, gauges: SchedulerGauges, view: ViewStatus) -> String {
         self.jobs.set(count(gauges.jobs));
         self.waiting.set(count(gauges.waiting));
         self.workers.set(count(gauges.workers));
+        self.config_version.set(saturating(view.config_version));
+        self.view_position.set(saturating(view.position));
+        let age = view.age.map_or(f64::INFINITY, |age| age.as_secs_f64());
+        self.view_age.set(age);
         text(&self.registry)
     }
 }
@@ -107,6 +241,7 @@
     runs: IntGauge,
     free_cpu: IntGauge,
     open: IntGauge,
+    view_position: IntGauge,
 }
 
 impl AgentMetrics {
@@ -126,6 +261,11 @@
             runs: gauge(&registry, "runs", "Runs that hold room")?,
             free_cpu: gauge(&registry, "free_cpu", "Free thousandths of a core")?,
             open: gauge(&registry, "worker_open", "1 while the worker takes runs")?,
+            view_position: gauge(
+                &registry,
+                "view_position",
+                "Position of the operator view in force",
+            )?,
             registry,
         })
     }
@@ -149,9 +289,9 @@
     #[must_use]
     pub fn text(&self, gauges: SupervisorGauges) -> String {
         self.runs.set(count(gauges.runs));
-        self.free_cpu
-            .set(i64::try_from(gauges.free.cpu).unwrap_or(i64::MAX));
+        self.free_cpu.set(saturating(gauges.free.cpu));
         self.open.set(i64::from(gauges.open));
+        self.view_position.set(saturating(gauges.view_position));
         text(&self.registry)
     }
 }
@@ -168,6 +308,13 @@
     Ok(gauge)
 }
 
+fn view_age(registry: &Registry) -> Result<Gauge> {
+    let help = "Time since a read showed that the operator view in force is the newest";
+    let gauge = Gauge::new("view_age_seconds", help)?;
+    registry.register(Box::new(gauge.clone()))?;
+    Ok(gauge)
+}
+
 fn text(registry: &Registry) -> String {
     let text = TextEncoder::new().encode_to_string(&registry.gather());
     text.unwrap_or_else(|error| format!("# {error}\n"))
@@ -195,3 +342,7 @@
 fn count(value: usize) -> i64 {
     i64::try_from(value).unwrap_or(i64::MAX)
 }
+
+fn saturating(value: u64) -> i64 {
+    i64::try_from(value).unwrap_or(i64::MAX)
+}
--- a/crates/masticcross-jobs/src/scheduler/mod.rs
+++ b/crates/masticcross-jobs/src/scheduler/mod.rs
@@ -38,6 +38,7 @@
 use crate::view_fetch::ViewFetch;
 
 use admission::{ArrivalRates, RecentShare, Saturation};
+pub use operator_view::ViewStatus;
 use table::{Job, JobNumber, TaskPos, TaskState, Urgency};
 use worker::Worker;
 
@@ -79,6 +80,8 @@
 pub struct Scheduler {
     zone: Name,
     view: Option<OperatorView>,
+    /// When the last complete read of the operators' records ended.
+    view_confirmed_at: Option<Instant>,
     workers: BTreeMap<Name, Worker>,
     jobs: BTreeMap<JobNumber, Job>,
     by_id: FxHashMap<Name, JobNumber>,
@@ -102,6 +105,7 @@
         Self {
             zone,
             view: None,
+            view_confirmed_at: None,
             workers: BTreeMap::new(),
             jobs: BTreeMap::new(),
             by_id: FxHashMap::default(),
@@ -155,11 +159,13 @@
         self.next_job += 1;
         let id = request.id.clone();
         let job = Job::new(request, queue, now);
+        let view = self.view_status(now);
         log::info!(
             job:% = id, queue:% = job.queue.name, tasks = job.tasks().count(),
             objective_ms = job.objective.as_millis(),
             patience_ms = job.request.deadline.saturating_duration_since(now).as_millis(),
-            orders_position = self.view.as_ref().map_or(0, |view| view.position),
+            orders_position = view.position, config_version = view.config_version,
+            view_age_ms = view.age_ms(),
             usable_workers = self.gauges().workers, jobs_waiting = self.waiting.len();
             "job taken"
         );
--- a/crates/masticcross-jobs/src/scheduler/operator_view.rs
+++ b/crates/masticcross-jobs/src/scheduler/operator_view.rs
@@ -1,11 +1,50 @@
 //! The operator view, and its exchange with agents.
 
+use std::time::Duration;
+
 use masticcross_wire::pool::{OperatorView, PoolFrame};
 use tokio::time::Instant;
 
 use super::{Effect, Scheduler, SessionId};
 
+/// Which operator view is in force, and how old the knowledge is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct ViewStatus {
+    /// Position of the view in the operators' stream; 0 if there is no view yet.
+    pub position: u64,
+    /// Version of the configuration.
+    pub config_version: u64,
+    /// Time since a read of the operators' records showed that there is no newer view, or `None` if
+    /// this entry has not completed a read.
+    pub age: Option<Duration>,
+}
+
+impl ViewStatus {
+    /// Returns the age in milliseconds for logs, or -1 if it is not known.
+    #[must_use]
+    pub fn age_ms(&self) -> i64 {
+        let ms = |age: Duration| i64::try_from(age.as_millis()).unwrap_or(i64::MAX);
+        self.age.map_or(-1, ms)
+    }
+}
+
 impl Scheduler {
+    /// Returns which operator view is in force.
+    #[must_use]
+    pub fn view_status(&self, now: Instant) -> ViewStatus {
+        let age = |at: Instant| now.saturating_duration_since(at);
+        ViewStatus {
+            position: self.view.as_ref().map_or(0, |view| view.position),
+            config_version: self.view.as_ref().map_or(0, |view| view.config_version),
+            age: self.view_confirmed_at.map(age),
+        }
+    }
+
+    /// Records that a read of the operators' records has shown which is the newest view.
+    pub fn view_confirmed(&mut self, now: Instant) {
+        self.view_confirmed_at = Some(now);
+    }
+
     /// Applies an operator view if it is newer, and announces it to all agents. Returns true if it is.
     pub fn update_view(&mut self, view: OperatorView) -> bool {
         let current_position = self.view.as_ref().map(|v| v.position);
@@ -13,11 +52,6 @@
         {
             return false;
         }
-        log::info!(
-            position = view.position, version = view.config_version,
-            zones_out:? = view.zones_out;
-            "operators' orders"
-        );
         let sessions: Vec<SessionId> = self.workers.values().filter_map(|w| w.session).collect();
         for session in sessions {
             let frame = PoolFrame::ViewPosition(view.position);
--- a/crates/masticcross-jobs/src/supervisor/mod.rs
+++ b/crates/masticcross-jobs/src/supervisor/mod.rs
@@ -89,6 +89,8 @@
     pub free: Resources,
     /// True if the worker accepts runs.
     pub open: bool,
+    /// Position of the operator view in force.
+    pub view_position: u64,
 }
 
 /// State of the worker in its current incarnation.
@@ -159,6 +161,7 @@
             runs: self.runs.iter().count(),
             free: self.free(now),
             open: self.advertised(now).is_some_and(|info| !info.leaving),
+            view_position: self.view.position,
         }
     }
 
