Send the operator view in parts, and to agents only its summary

What callers saw: in seconds in which the configuration grew, jobs of one entry were lost or late, and an entry that could not read the store kept an old configuration.

Cause: a process that announces a new view is asked for all of it. All agents asked the same entry, the first one; its link was full for seconds, its sessions ended after 0.6 s without a heartbeat and their runs were stopped. A view was one message, so that over a thin link a session that carried one ended before it was through, and the next one began again: an entry without the store never got it.

Change: announcements have a summary (position, version, zones out), which is what an agent decides by. An entry asks after 0.5 s, and an agent passes the request on to an entry that has the view. Four agents of each entry keep a copy, for entries that start while the store is down.

Tests replaced: the three supervisor tests and two scheduler tests that counted requests for whole views count requests for parts, under the same or stricter conditions.

--- a/crates/masticcross-jobs/src/agent/mod.rs
+++ b/crates/masticcross-jobs/src/agent/mod.rs
@@ -76,6 +76,7 @@
         store: Arc<dyn WorkerReportStore>,
         dialer: Arc<dyn Dialer>,
     ) -> metrics::Result<Arc<Self>> {
+        let supervisor = Supervisor::new(&identity.name, lease, unix_ms, Instant::now());
         Ok(Arc::new(Self {
             metrics: AgentMetrics::new()?,
             selection: Mutex::new(EntrySelection::new(
@@ -83,7 +84,7 @@
                 identity.zone.clone(),
             )),
             identity,
-            supervisor: Mutex::new(Supervisor::new(lease, unix_ms, Instant::now())),
+            supervisor: Mutex::new(supervisor),
             suspension: Mutex::new(SuspensionDetector::start()),
             senders: Mutex::default(),
             client,
--- a/crates/masticcross-jobs/src/agent/sessions.rs
+++ b/crates/masticcross-jobs/src/agent/sessions.rs
@@ -157,15 +157,15 @@
             PoolFrame::Echo(probe) => {
                 self.with_supervisor(|supervisor, now| supervisor.echoed(session, probe, now));
             }
-            PoolFrame::ViewPosition(position) => self.with_supervisor(|supervisor, now| {
-                supervisor.view_announced(session, position, now);
+            PoolFrame::View(view) => self.with_supervisor(|supervisor, now| {
+                supervisor.view_announced(session, view, now);
             }),
-            PoolFrame::FetchView => {
-                self.with_supervisor(|supervisor, _| supervisor.send_view(session));
-            }
-            PoolFrame::View(view) => {
-                self.with_supervisor(|supervisor, now| supervisor.update_view(session, *view, now));
+            PoolFrame::FetchView(range) => {
+                self.with_supervisor(|supervisor, _| supervisor.view_requested(session, range));
             }
+            PoolFrame::ViewPart(part) => self.with_supervisor(|supervisor, now| {
+                supervisor.view_part_received(session, &part, now);
+            }),
             PoolFrame::Entries(entries) => self.add_entries(&entries),
             PoolFrame::Run(requests) => {
                 self.with_supervisor(|supervisor, now| supervisor.run(session, requests, now));
--- a/crates/masticcross-jobs/src/entry.rs
+++ b/crates/masticcross-jobs/src/entry.rs
@@ -168,13 +168,14 @@
 
     /// Applies an operator view from the operators' records if it is newer.
     pub fn update_view(&self, view: OperatorView) {
-        self.with_state(|state, _| self.apply_view(state, view, ViewSource::Records));
+        self.with_state(|state, _| {
+            if state.scheduler.update_view(view) {
+                self.view_applied(state, ViewSource::Records);
+            }
+        });
     }
 
-    fn apply_view(&self, state: &mut State, view: OperatorView, source: ViewSource) {
-        if !state.scheduler.update_view(view) {
-            return;
-        }
+    fn view_applied(&self, state: &State, source: ViewSource) {
         self.metrics.view_updated(source);
         if let Some(view) = state.scheduler.view() {
             log::info!(
@@ -349,11 +350,16 @@
                 self.metrics.runs_ended(&ends);
                 state.scheduler.ended(agent, session, &ends, now);
             }
-            PoolFrame::ViewPosition(position) => {
+            PoolFrame::View(view) => {
+                let position = view.summary.position;
                 state.scheduler.view_announced(session, position, now);
             }
-            PoolFrame::FetchView => state.scheduler.send_view(session),
-            PoolFrame::View(view) => self.apply_view(state, *view, ViewSource::Session),
+            PoolFrame::FetchView(range) => state.scheduler.view_requested(session, range),
+            PoolFrame::ViewPart(part) => {
+                if state.scheduler.view_part_received(session, &part, now) {
+                    self.view_applied(state, ViewSource::Session);
+                }
+            }
             PoolFrame::Entries(_)
             | PoolFrame::Resume(_)
             | PoolFrame::Echo(_)
--- a/crates/masticcross-jobs/src/lib.rs
+++ b/crates/masticcross-jobs/src/lib.rs
@@ -26,7 +26,7 @@
 pub mod scheduler;
 pub mod supervisor;
 pub mod suspension;
-pub mod view_fetch;
+pub mod view;
 pub mod worker_client;
 
 pub use agent::Agent;
--- a/crates/masticcross-jobs/src/scheduler/mod.rs
+++ b/crates/masticcross-jobs/src/scheduler/mod.rs
@@ -30,12 +30,14 @@
 use masticcross_wire::pool::{FreeResources, OperatorView, PoolFrame, Resume, RunEnd, WorkerInfo};
 use masticcross_wire::{Incarnation, Refusal};
 use rustc_hash::FxHashMap;
+use smallvec::SmallVec;
 use tokio::time::Instant;
 
 use crate::failure_attribution::FailureAttribution;
 use crate::job::{JobOutcome, JobRequest};
 use crate::run_times::RunTimes;
-use crate::view_fetch::ViewFetch;
+use crate::view::encoded::EncodedView;
+use crate::view::fetch::ViewFetch;
 
 use admission::{ArrivalRates, RecentShare, Saturation};
 pub use operator_view::ViewStatus;
@@ -95,6 +97,10 @@
     arrivals: ArrivalRates,
     saturation: Saturation,
     view_fetch: ViewFetch,
+    /// The operator view in the form in which it is sent, if it was requested.
+    encoded_view: Option<EncodedView>,
+    /// Sessions of the agents that are asked to keep a copy of the operator view.
+    view_keepers: SmallVec<[SessionId; operator_view::VIEW_KEEPERS]>,
     effects: Vec<Effect>,
 }
 
@@ -117,7 +123,9 @@
             recent_share: RecentShare::default(),
             arrivals: ArrivalRates::default(),
             saturation: Saturation::default(),
-            view_fetch: ViewFetch::default(),
+            view_fetch: ViewFetch::new(operator_view::FETCH_PACE, 0),
+            encoded_view: None,
+            view_keepers: SmallVec::new(),
             effects: Vec::new(),
         }
     }
@@ -203,9 +211,9 @@
             let worker = Worker::new(name.clone(), incarnation, session, now);
             self.workers.insert(name.clone(), worker);
         }
-        if let Some(view) = &self.view {
-            let frame = PoolFrame::ViewPosition(view.position);
-            self.effects.push(Effect::Send(session, frame));
+        self.choose_view_keepers();
+        if !self.view_keepers.contains(&session) {
+            self.announce_view(session);
         }
     }
 
@@ -220,6 +228,7 @@
         }
         worker.session = None;
         worker.info = None;
+        self.choose_view_keepers();
         self.mark_unreachable(name, now);
         self.place(now);
     }
--- a/crates/masticcross-jobs/src/scheduler/operator_view.rs
+++ b/crates/masticcross-jobs/src/scheduler/operator_view.rs
@@ -2,10 +2,23 @@
 
 use std::time::Duration;
 
-use masticcross_wire::pool::{OperatorView, PoolFrame};
+use masticcross_wire::pool::{OperatorView, PoolFrame, ViewAnnouncement, ViewPart, ViewRange};
+use smallvec::SmallVec;
 use tokio::time::Instant;
+use twox_hash::XxHash3_64;
 
 use super::{Effect, Scheduler, SessionId};
+use crate::view::encoded::EncodedView;
+use crate::view::fetch::{FetchPace, Progress};
+
+/// Number of agents that an entry asks to keep a copy of the operator view.
+pub(super) const VIEW_KEEPERS: usize = 4;
+
+/// An entry gets the view from the operators' records; the delay leaves it the time to do so.
+pub(super) const FETCH_PACE: FetchPace = FetchPace {
+    delay: Duration::from_millis(500),
+    interval: Duration::ZERO,
+};
 
 /// Which operator view is in force, and how old the knowledge is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -34,7 +47,7 @@
     pub fn view_status(&self, now: Instant) -> ViewStatus {
         let age = |at: Instant| now.saturating_duration_since(at);
         ViewStatus {
-            position: self.view.as_ref().map_or(0, |view| view.position),
+            position: self.view_position(),
             config_version: self.view.as_ref().map_or(0, |view| view.config_version),
             age: self.view_confirmed_at.map(age),
         }
@@ -52,34 +65,113 @@
         {
             return false;
         }
+        self.view = Some(view);
+        self.encoded_view = None;
         let sessions: Vec<SessionId> = self.workers.values().filter_map(|w| w.session).collect();
         for session in sessions {
-            let frame = PoolFrame::ViewPosition(view.position);
-            self.effects.push(Effect::Send(session, frame));
+            self.announce_view(session);
         }
-        self.view = Some(view);
         true
     }
 
+    /// Announces the operator view on a session, if there is one.
+    pub(super) fn announce_view(&mut self, session: SessionId) {
+        if let Some(view) = &self.view {
+            let announcement = ViewAnnouncement {
+                summary: view.summary(),
+                keep_copy: self.view_keepers.contains(&session),
+            };
+            let frame = PoolFrame::View(announcement);
+            self.effects.push(Effect::Send(session, frame));
+        }
+    }
+
+    /// Chooses the agents that keep a copy of the operator view. An entry that starts while the
+    /// operators' records cannot be read gets it from them. Entries that share agents tend to choose
+    /// the same ones.
+    pub(super) fn choose_view_keepers(&mut self) {
+        let sessions = self
+            .workers
+            .iter()
+            .filter_map(|(name, w)| Some((name, w.session?)));
+        let ranked =
+            sessions.map(|(name, session)| (XxHash3_64::oneshot(name.as_bytes()), session));
+        let mut ranked: Vec<(u64, SessionId)> = ranked.collect();
+        ranked.sort_unstable();
+        let keepers = ranked
+            .into_iter()
+            .map(|(_, session)| session)
+            .take(VIEW_KEEPERS);
+        let keepers: SmallVec<[SessionId; VIEW_KEEPERS]> = keepers.collect();
+        let former = std::mem::replace(&mut self.view_keepers, keepers.clone());
+        for session in keepers
+            .into_iter()
+            .filter(|session| !former.contains(session))
+        {
+            self.announce_view(session);
+        }
+    }
+
     /// Applies the position of the operator view that an agent announced.
     pub fn view_announced(&mut self, session: SessionId, position: u64, now: Instant) {
         self.view_fetch.announced(session, position);
         self.fetch_view(now);
     }
 
-    /// Sends the operator view on a session whose agent asked for it.
-    pub fn send_view(&mut self, session: SessionId) {
-        if let Some(view) = &self.view {
-            let frame = PoolFrame::View(Box::new(view.clone()));
+    /// Sends a part of the operator view on a session whose agent requested it.
+    pub fn view_requested(&mut self, session: SessionId, range: ViewRange) {
+        let Some(view) = self.view.as_ref().filter(|v| v.position >= range.position) else {
+            return;
+        };
+        if self.encoded_view.is_none() {
+            match EncodedView::encode(view) {
+                Ok(encoded) => self.encoded_view = Some(encoded),
+                Err(error) => log::error!(error:%; "operator view cannot be encoded"),
+            }
+        }
+        if let Some(encoded) = &self.encoded_view {
+            let frame = PoolFrame::ViewPart(encoded.part(range));
             self.effects.push(Effect::Send(session, frame));
         }
     }
 
+    /// Applies a part of an operator view. Returns true if a newer view is complete and was applied.
+    pub fn view_part_received(
+        &mut self,
+        session: SessionId,
+        part: &ViewPart,
+        now: Instant,
+    ) -> bool {
+        let position = self.view_position();
+        match self.view_fetch.received(session, part, position, now) {
+            Progress::Waiting => false,
+            Progress::Continue(range) => {
+                let frame = PoolFrame::FetchView(range);
+                self.effects.push(Effect::Send(session, frame));
+                false
+            }
+            Progress::Malformed => {
+                log::warn!(session, position = part.position; "malformed part of an operator view");
+                false
+            }
+            Progress::Complete(encoded) => match encoded.decode() {
+                Ok(view) => self.update_view(view),
+                Err(error) => {
+                    log::warn!(session, error:%; "malformed operator view");
+                    false
+                }
+            },
+        }
+    }
+
     pub(super) fn fetch_view(&mut self, now: Instant) {
-        let position = self.view.as_ref().map_or(0, |view| view.position);
-        if let Some(session) = self.view_fetch.next(position, now) {
-            self.effects
-                .push(Effect::Send(session, PoolFrame::FetchView));
+        if let Some((session, range)) = self.view_fetch.next(self.view_position(), now) {
+            let frame = PoolFrame::FetchView(range);
+            self.effects.push(Effect::Send(session, frame));
         }
     }
+
+    fn view_position(&self) -> u64 {
+        self.view.as_ref().map_or(0, |view| view.position)
+    }
 }
--- a/crates/masticcross-jobs/src/scheduler/tests.rs
+++ b/crates/masticcross-jobs/src/scheduler/tests.rs
@@ -1,12 +1,13 @@
 //! Tests of the scheduler.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use masticcross_basics::{Code, Name};
 use masticcross_wire::NotStartedReason;
 use masticcross_wire::pool::{
     FreeResources, OperatorView, PoolFrame, Queue, Resources, Resume, RunEnd, RunId, RunRequest,
-    RunResult, WorkerInfo,
+    RunResult, ViewRange, WorkerInfo,
 };
 use smallvec::{SmallVec, smallvec};
 use tokio::time::Instant;
@@ -15,6 +16,7 @@
 use super::{Effect, LOST_CONTACT_TIMEOUT, Scheduler, SessionId};
 use crate::job::{JobOutcome, JobRequest, StepRequest};
 use crate::supervisor::clients::AUTHORITY_TIMEOUT;
+use crate::view::encoded::EncodedView;
 
 /// Defines one test per case.
 macro_rules! cases {
@@ -33,6 +35,7 @@
     sent: Vec<(SessionId, RunRequest)>,
     stopped: Vec<RunId>,
     answers: Vec<(JobNumber, JobOutcome)>,
+    requested_views: Vec<(SessionId, ViewRange)>,
 }
 
 impl Fixture {
@@ -43,6 +46,7 @@
             sent: Vec::new(),
             stopped: Vec::new(),
             answers: Vec::new(),
+            requested_views: Vec::new(),
         };
         fixture.update_view(1, &[]);
         fixture
@@ -63,6 +67,9 @@
                         .extend(requests.into_iter().map(|request| (session, request)));
                 }
                 Effect::Send(_, PoolFrame::Stop(ids)) => self.stopped.extend(ids),
+                Effect::Send(session, PoolFrame::FetchView(range)) => {
+                    self.requested_views.push((session, range));
+                }
                 Effect::Send(..) => {}
                 Effect::Answer(number, outcome) => self.answers.push((number, outcome)),
             }
@@ -86,6 +93,15 @@
         self.step(|s, _| s.update_view(view));
     }
 
+    /// Applies a view and leaves its effects.
+    fn update_view_quietly(&mut self, position: u64) {
+        let view = OperatorView {
+            position,
+            ..OperatorView::default()
+        };
+        self.scheduler.update_view(view);
+    }
+
     /// Opens the session of an agent. The worker has the number of the session.
     fn connect(&mut self, session: SessionId, incarnation: u64, info: WorkerInfo) {
         let name = name(session);
@@ -244,7 +260,7 @@
         f.now += SECOND;
         f.scheduler.tick(f.now);
         let effects = f.scheduler.take_effects();
-        let is_fetch = |e: &Effect| matches!(e, Effect::Send(2, PoolFrame::FetchView));
+        let is_fetch = |e: &Effect| matches!(e, Effect::Send(2, PoolFrame::FetchView(_)));
         assert!(effects.len() == 2 && effects.iter().all(is_fetch), "{effects:?}");
     };
     without_a_worker_in_contact_no_job_is_refused_as_overload => |_| {
@@ -265,28 +281,57 @@
     };
 
     sessions_and_changes_cost_no_operator_view_unless_it_is_requested => |mut f: Fixture| {
-        let mut views = 0;
         for session in 1..38 {
             f.scheduler.session_opened(&name(session), 1, session, f.now);
         }
-        let view = OperatorView { position: 2, ..OperatorView::default() };
-        f.scheduler.update_view(view);
-        f.scheduler.send_view(7);
-        for effect in f.scheduler.take_effects() {
-            views += usize::from(matches!(effect, Effect::Send(_, PoolFrame::View(_))));
+        f.update_view_quietly(2);
+        f.scheduler.view_requested(7, ViewRange { position: 2, offset: 0 });
+        f.scheduler.view_requested(8, ViewRange { position: 3, offset: 0 });
+        let parts = |e: &Effect| matches!(e, Effect::Send(_, PoolFrame::ViewPart(_)));
+        let effects = f.scheduler.take_effects();
+        let parts: Vec<&Effect> = effects.iter().filter(|e| parts(e)).collect();
+        assert!(matches!(parts[..], [Effect::Send(7, _)]), "{parts:?}");
+    };
+
+    some_agents_are_asked_to_keep_a_copy_of_the_operator_view => |mut f: Fixture| {
+        let asked = |f: &mut Fixture| -> BTreeSet<SessionId> {
+            let asked = |effect| match effect {
+                Effect::Send(session, PoolFrame::View(view)) => view.keep_copy.then_some(session),
+                _ => None,
+            };
+            f.scheduler.take_effects().into_iter().filter_map(asked).collect()
+        };
+        for session in 1..38 {
+            f.scheduler.session_opened(&name(session), 1, session, f.now);
         }
-        assert_eq!(views, 1);
+        asked(&mut f);
+        f.update_view_quietly(2);
+        let keepers = asked(&mut f);
+        assert_eq!(keepers.len(), 4);
+        // Another agent takes the place of one that is gone.
+        let gone = *keepers.first().expect("a keeper");
+        f.scheduler.session_closed(&name(gone), gone, f.now);
+        let added = asked(&mut f);
+        assert!(added.len() == 1 && added.is_disjoint(&keepers), "{added:?}");
     };
 
     an_entry_without_the_store_fetches_a_newer_operator_view_from_an_agent => |mut f: Fixture| {
         f.scheduler.session_opened(&name(1), 1, 1, f.now);
         f.scheduler.take_effects();
         f.scheduler.view_announced(1, 9, f.now);
-        let effects = f.scheduler.take_effects();
-        assert!(matches!(effects[..], [Effect::Send(1, PoolFrame::FetchView)]), "{effects:?}");
+        // The entry gets the time to read the operators' records itself.
+        f.advance(Duration::from_millis(480));
+        assert_eq!(f.requested_views, vec![]);
+        f.advance(Duration::from_millis(20));
+        assert_eq!(f.requested_views, vec![(1, ViewRange { position: 9, offset: 0 })]);
+        let view = OperatorView { position: 9, config_version: 4, ..OperatorView::default() };
+        let encoded = EncodedView::encode(&view).expect("a valid view");
+        let part = encoded.part(ViewRange { position: 9, offset: 0 });
+        assert!(f.scheduler.view_part_received(1, &part, f.now));
+        assert_eq!(f.scheduler.view(), Some(&view));
+        assert!(!f.scheduler.view_part_received(1, &part, f.now));
     };
 
-
     a_job_completes_when_all_tasks_are_done => |_| {
         let mut f = Fixture::with_worker(8);
         f.submit(f.job("a", smallvec![tasks(2, 2)]));
--- a/crates/masticcross-jobs/src/supervisor/mod.rs
+++ b/crates/masticcross-jobs/src/supervisor/mod.rs
@@ -6,6 +6,7 @@
 //! - [`clients`]: entries, and how long the agent may act for them.
 //! - `calls`: calls to the worker and its answers.
 //! - `notifications`: frames sent to entries.
+//! - `operator_view`: the operators' settings, and their exchange with entries.
 //!
 //! This module does no I/O and never blocks. Methods take the current time and queue [`Effect`]s,
 //! which the caller must execute in the order in which they were queued.
@@ -14,21 +15,25 @@
 pub mod clients;
 pub mod lease;
 mod notifications;
+mod operator_view;
 pub mod runs;
 
 #[cfg(test)]
 mod tests;
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use masticcross_wire::NotStartedReason;
 use masticcross_wire::pool::{
-    OperatorView, PoolFrame, Resources, RunEnd, RunId, RunRequest, RunResult, WorkerInfo,
+    PoolFrame, Resources, RunEnd, RunId, RunRequest, RunResult, ViewSummary, WorkerInfo,
 };
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
-use crate::view_fetch::ViewFetch;
+use crate::view::encoded::EncodedView;
+use crate::view::fetch::ViewFetch;
+use crate::view::relay::ViewRelay;
 use crate::worker_client::{StartCall, StopCall, WorkerIncarnation};
 
 pub use calls::{POLL_WAIT, START_TIMEOUT};
@@ -114,8 +119,13 @@
     lease: Lease,
     runs: Runs,
     clients: Clients,
-    view: OperatorView,
+    view: ViewSummary,
+    /// Copy of the operator view for entries that start while the records cannot be read.
+    view_copy: Option<EncodedView>,
+    /// Sessions of the entries that asked for the copy.
+    keeping_for: BTreeSet<SessionId>,
     view_fetch: ViewFetch,
+    view_relay: ViewRelay,
     closing: bool,
     /// True once the worker has listed its runs and no run of an earlier agent process is left.
     runs_complete: bool,
@@ -129,16 +139,19 @@
 }
 
 impl Supervisor {
-    /// Creates a supervisor without a worker. `unix_ms` is the current Unix time.
+    /// Creates the supervisor of an agent, without a worker. `unix_ms` is the current Unix time.
     #[must_use]
-    pub fn new(lease: Duration, unix_ms: u64, now: Instant) -> Self {
+    pub fn new(name: &str, lease: Duration, unix_ms: u64, now: Instant) -> Self {
         Self {
             worker: None,
             lease: Lease::new(lease, unix_ms),
             runs: Runs::default(),
             clients: Clients::default(),
-            view: OperatorView::default(),
-            view_fetch: ViewFetch::default(),
+            view: ViewSummary::default(),
+            view_copy: None,
+            keeping_for: BTreeSet::new(),
+            view_fetch: operator_view::new_fetch(name),
+            view_relay: ViewRelay::default(),
             closing: false,
             runs_complete: false,
             saturated_at: None,
--- a/crates/masticcross-jobs/src/supervisor/notifications.rs
+++ b/crates/masticcross-jobs/src/supervisor/notifications.rs
@@ -2,9 +2,7 @@
 
 use std::time::Duration;
 
-use masticcross_wire::pool::{
-    EntryAddr, OperatorView, PoolFrame, Resume, RunEnd, RunId, RunResult,
-};
+use masticcross_wire::pool::{EntryAddr, PoolFrame, Resume, RunEnd, RunId, RunResult};
 use tokio::time::Instant;
 
 use super::clients::{Client, ClientId};
@@ -41,7 +39,7 @@
         };
         let frames = [
             PoolFrame::Entries(self.clients.addrs()),
-            PoolFrame::ViewPosition(self.view.position),
+            PoolFrame::View(self.view_announcement()),
             PoolFrame::Resume(resume),
             PoolFrame::Worker(self.advertised(now)),
         ];
@@ -59,6 +57,8 @@
     pub fn session_closed(&mut self, session: SessionId) {
         self.clients.close(session);
         self.view_fetch.closed(session);
+        self.view_relay.closed(session);
+        self.keeping_for.remove(&session);
     }
 
     /// Starts ending a session that is replaced by one with another entry. The entry gets no further
@@ -114,40 +114,6 @@
         self.clients.addrs()
     }
 
-    /// Applies the position of the operator view that an entry announced.
-    pub fn view_announced(&mut self, session: SessionId, position: u64, now: Instant) {
-        self.view_fetch.announced(session, position);
-        self.fetch_view(now);
-    }
-
-    /// Sends the operator view on a session whose entry asked for it.
-    pub fn send_view(&mut self, session: SessionId) {
-        let frame = PoolFrame::View(Box::new(self.view.clone()));
-        self.effects.push(Effect::Send(session, frame));
-    }
-
-    pub(super) fn fetch_view(&mut self, now: Instant) {
-        if let Some(session) = self.view_fetch.next(self.view.position, now) {
-            self.effects
-                .push(Effect::Send(session, PoolFrame::FetchView));
-        }
-    }
-
-    /// Applies an operator view if it is newer, and announces it to the other entries.
-    pub fn update_view(&mut self, session: SessionId, view: OperatorView, now: Instant) {
-        if view.position <= self.view.position {
-            return;
-        }
-        log::info!(position = view.position, version = view.config_version; "operators' orders");
-        self.view = view;
-        let sessions: Vec<SessionId> = self.clients.sessions().collect();
-        for other in sessions.into_iter().filter(|s| *s != session) {
-            let frame = PoolFrame::ViewPosition(self.view.position);
-            self.effects.push(Effect::Send(other, frame));
-        }
-        self.publish(now);
-    }
-
     /// Announces changes of the worker and of its free resources to the entries.
     pub(super) fn publish(&mut self, now: Instant) {
         let advertised = self.advertised(now);
--- /dev/null
+++ b/crates/masticcross-jobs/src/supervisor/operator_view.rs
@@ -0,0 +1,118 @@
+//! The operator view at an agent: the summary by which it decides, a copy for entries that cannot read
+//! the operators' records, and requests passed on between entries.
+
+use std::time::Duration;
+
+use masticcross_wire::pool::{PoolFrame, ViewAnnouncement, ViewPart, ViewRange};
+use tokio::time::Instant;
+use twox_hash::XxHash3_64;
+
+use super::{Effect, SessionId, Supervisor};
+use crate::view::encoded::EncodedView;
+use crate::view::fetch::{FetchPace, Progress, ViewFetch};
+
+/// Minimum time between a change and the first request for a copy.
+const MIN_FETCH_DELAY: Duration = Duration::from_secs(1);
+
+/// Range of the additional delay, by which the agents of an installation are spread, in milliseconds.
+const FETCH_DELAY_SPREAD_MS: u64 = 2_000;
+
+/// Minimum time between two requests for parts of a copy. Nothing waits for it, and a copy must not
+/// compete with callers' traffic for the entries' links.
+const FETCH_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Creates the fetch of an agent's copy. The time and the entries that are asked depend on its name.
+pub(super) fn new_fetch(name: &str) -> ViewFetch {
+    let hash = XxHash3_64::oneshot(name.as_bytes());
+    let pace = FetchPace {
+        delay: MIN_FETCH_DELAY + Duration::from_millis(hash % FETCH_DELAY_SPREAD_MS),
+        interval: FETCH_INTERVAL,
+    };
+    ViewFetch::new(pace, usize::try_from(hash >> 32).unwrap_or(0))
+}
+
+impl Supervisor {
+    /// Applies the summary of an entry's operator view if it is newer, and forwards it to the other
+    /// entries.
+    pub fn view_announced(&mut self, session: SessionId, view: ViewAnnouncement, now: Instant) {
+        let summary = view.summary;
+        if view.keep_copy {
+            self.keeping_for.insert(session);
+        } else {
+            self.keeping_for.remove(&session);
+        }
+        self.view_fetch.announced(session, summary.position);
+        self.view_relay.announced(session, summary.position);
+        if summary.position > self.view.position {
+            log::info!(
+                position = summary.position, version = summary.config_version;
+                "operators' orders"
+            );
+            self.view = summary;
+            let sessions: Vec<SessionId> = self.clients.sessions().collect();
+            for other in sessions.into_iter().filter(|s| *s != session) {
+                let frame = PoolFrame::View(self.view_announcement());
+                self.effects.push(Effect::Send(other, frame));
+            }
+            self.publish(now);
+        }
+        self.fetch_view(now);
+    }
+
+    /// Answers an entry's request for a part of the operator view from the copy, or passes it on to
+    /// an entry that has the view.
+    pub fn view_requested(&mut self, session: SessionId, range: ViewRange) {
+        let copy = self.view_copy.as_ref();
+        if let Some(copy) = copy.filter(|copy| copy.position() >= range.position) {
+            let frame = PoolFrame::ViewPart(copy.part(range));
+            self.effects.push(Effect::Send(session, frame));
+        } else if let Some(source) = self.view_relay.requested(session, range) {
+            let frame = PoolFrame::FetchView(range);
+            self.effects.push(Effect::Send(source, frame));
+        }
+    }
+
+    /// Passes a part of an operator view on to the entries that requested it, and applies it to the
+    /// copy.
+    pub fn view_part_received(&mut self, session: SessionId, part: &ViewPart, now: Instant) {
+        for requester in self.view_relay.received(session, part) {
+            let frame = PoolFrame::ViewPart(part.clone());
+            self.effects.push(Effect::Send(requester, frame));
+        }
+        let position = self.copy_position();
+        match self.view_fetch.received(session, part, position, now) {
+            Progress::Waiting => {}
+            Progress::Continue(range) => {
+                let frame = PoolFrame::FetchView(range);
+                self.effects.push(Effect::Send(session, frame));
+            }
+            Progress::Malformed => {
+                log::warn!(session, position = part.position; "malformed part of an operator view");
+            }
+            Progress::Complete(copy) => self.view_copy = Some(copy),
+        }
+    }
+
+    /// Returns the announcement of the agent's view to entries.
+    pub(super) fn view_announcement(&self) -> ViewAnnouncement {
+        ViewAnnouncement {
+            summary: self.view.clone(),
+            keep_copy: false,
+        }
+    }
+
+    /// Requests a part of the view if an entry has asked for a copy and it is due.
+    pub(super) fn fetch_view(&mut self, now: Instant) {
+        if self.keeping_for.is_empty() {
+            return;
+        }
+        if let Some((session, range)) = self.view_fetch.next(self.copy_position(), now) {
+            let frame = PoolFrame::FetchView(range);
+            self.effects.push(Effect::Send(session, frame));
+        }
+    }
+
+    fn copy_position(&self) -> u64 {
+        self.view_copy.as_ref().map_or(0, EncodedView::position)
+    }
+}
--- a/crates/masticcross-jobs/src/supervisor/tests.rs
+++ b/crates/masticcross-jobs/src/supervisor/tests.rs
@@ -3,10 +3,11 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use masticcross_basics::Name;
 use masticcross_wire::NotStartedReason;
 use masticcross_wire::pool::{
-    EntryAddr, OperatorView, PoolFrame, Resources, RunEnd, RunId, RunRequest, RunResult, TaskId,
-    WorkerInfo,
+    EntryAddr, PoolFrame, Resources, RunEnd, RunId, RunRequest, RunResult, TaskId,
+    ViewAnnouncement, ViewPart, ViewRange, ViewSummary, WorkerInfo,
 };
 use smallvec::smallvec;
 use tokio::time::Instant;
@@ -14,6 +15,7 @@
 use super::clients::{AUTHORITY_TIMEOUT, ClientId};
 use super::notifications::ANNOUNCE_INTERVAL;
 use super::{Effect, START_TIMEOUT, SessionId, Supervisor, WorkerReport};
+use crate::view::encoded::{EncodedView, PART_BYTES};
 use crate::worker_client::{
     CallError, ListedEnd, ListedRun, PollCall, RunListing, StartAnswer, StartCall, StartOutcome,
     WorkerEnd, WorkerIncarnation,
@@ -29,6 +31,9 @@
 const LEASE: Duration = Duration::from_secs(1);
 const SESSION: SessionId = 1;
 
+/// Maximum time between a change and an agent's first request for a copy of the operator view.
+const MAX_FETCH_DELAY: Duration = Duration::from_secs(3);
+
 /// A supervisor with a worker of 10 cores, a session with one entry, and a simulated clock.
 struct Fixture {
     supervisor: Supervisor,
@@ -48,7 +53,7 @@
     }
 
     fn without_worker(now: Instant) -> Self {
-        let mut supervisor = Supervisor::new(LEASE, 1_000, now);
+        let mut supervisor = Supervisor::new("agent-1", LEASE, 1_000, now);
         supervisor.session_opened(&client(1), SESSION, now);
         Self {
             supervisor,
@@ -178,12 +183,21 @@
     /// Returns the sessions on which the operator view was requested.
     fn view_requests(&self) -> Vec<SessionId> {
         let request = |effect: &Effect| match effect {
-            Effect::Send(session, PoolFrame::FetchView) => Some(*session),
+            Effect::Send(session, PoolFrame::FetchView(_)) => Some(*session),
             _ => None,
         };
         self.effects.iter().filter_map(request).collect()
     }
 
+    /// Returns the parts of the operator view that were sent on a session.
+    fn view_parts(&self, session: SessionId) -> Vec<ViewPart> {
+        let part = |effect: &Effect| match effect {
+            Effect::Send(to, PoolFrame::ViewPart(part)) if *to == session => Some(part.clone()),
+            _ => None,
+        };
+        self.effects.iter().filter_map(part).collect()
+    }
+
     fn free_cores(&self) -> u64 {
         self.supervisor.gauges(self.now).free.cpu / 1_000
     }
@@ -257,48 +271,101 @@
     }
 }
 
+/// Returns the announcement of a view, by an entry that asks for a copy.
+fn announced(position: u64, zones_out: &[&str]) -> ViewAnnouncement {
+    ViewAnnouncement {
+        summary: ViewSummary {
+            position,
+            config_version: position,
+            zones_out: zones_out.iter().map(|zone| Name::from(*zone)).collect(),
+        },
+        keep_copy: true,
+    }
+}
+
 fn no_answer() -> CallError {
     CallError::NoAnswer("lost".to_owned())
 }
 
 cases! {
-    the_operator_view_is_fetched_once_when_all_entries_announce_it => |mut f: Fixture| {
+    a_copy_of_the_operator_view_is_fetched_once_when_all_entries_announce_it => |mut f: Fixture| {
         for session in 2..9 {
             f.step(|s, now| s.session_opened(&client(session), session, now));
         }
         for session in 1..9 {
-            f.step(|s, now| s.view_announced(session, 5, now));
+            f.step(|s, now| s.view_announced(session, announced(5, &[]), now));
         }
+        assert_eq!(f.view_requests().len(), 0);
+        f.advance(MAX_FETCH_DELAY);
         assert_eq!(f.view_requests().len(), 1);
-        let view = OperatorView { position: 5, ..OperatorView::default() };
         let session = f.view_requests()[0];
-        f.step(|s, now| s.update_view(session, view, now));
-        f.advance(Duration::from_secs(2));
+        let part = EncodedView::new(5, "view".into()).part(ViewRange { position: 5, offset: 0 });
+        f.step(|s, now| s.view_part_received(session, &part, now));
+        f.advance(MAX_FETCH_DELAY);
+        f.advance(MAX_FETCH_DELAY);
         assert_eq!(f.view_requests().len(), 1);
     };
 
-    the_operator_view_is_fetched_elsewhere_if_it_does_not_arrive => |mut f: Fixture| {
+    a_copy_of_the_operator_view_is_fetched_elsewhere_if_it_does_not_arrive => |mut f: Fixture| {
         f.step(|s, now| s.session_opened(&client(2), 2, now));
-        f.step(|s, now| s.view_announced(SESSION, 5, now));
-        f.step(|s, now| s.view_announced(2, 5, now));
-        f.advance(Duration::from_secs(1));
-        assert_eq!(f.view_requests(), vec![SESSION, 2]);
-        f.step(|s, _| s.session_closed(2));
-        f.advance(Duration::from_millis(20));
-        assert_eq!(f.view_requests(), vec![SESSION, 2, SESSION]);
+        f.step(|s, now| s.view_announced(SESSION, announced(5, &[]), now));
+        f.step(|s, now| s.view_announced(2, announced(5, &[]), now));
+        f.advance(MAX_FETCH_DELAY);
+        f.advance(Duration::from_millis(500));
+        let asked = f.view_requests();
+        assert!(asked.len() == 2 && asked[0] != asked[1], "{asked:?}");
+        f.step(|s, _| s.session_closed(asked[1]));
+        f.advance(Duration::from_millis(50));
+        assert_eq!(f.view_requests(), vec![asked[0], asked[1], asked[0]]);
     };
 
     an_operator_view_is_sent_only_on_request => |mut f: Fixture| {
-        let view = OperatorView { position: 5, ..OperatorView::default() };
-        f.step(|s, now| s.update_view(SESSION, view, now));
+        let copy = EncodedView::new(5, vec![7; 3 * PART_BYTES].into());
+        f.step(|s, now| s.view_announced(SESSION, announced(5, &[]), now));
+        f.advance(MAX_FETCH_DELAY);
+        for part in 0..3 {
+            let range = ViewRange { position: 5, offset: part * PART_BYTES as u64 };
+            f.step(|s, now| s.view_part_received(SESSION, &copy.part(range), now));
+        }
         f.step(|s, now| s.session_opened(&client(2), 2, now));
-        let views = |f: &Fixture| {
-            let is_view = |e: &&Effect| matches!(e, Effect::Send(2, PoolFrame::View(_)));
-            f.effects.iter().filter(is_view).count()
-        };
-        assert_eq!(views(&f), 0);
-        f.step(|s, _| s.send_view(2));
-        assert_eq!(views(&f), 1);
+        assert_eq!(f.view_parts(2).len(), 0);
+        let range = ViewRange { position: 5, offset: PART_BYTES as u64 };
+        f.step(|s, _| s.view_requested(2, range));
+        assert_eq!(f.view_parts(2), vec![copy.part(range)]);
+    };
+
+    no_copy_of_the_operator_view_is_fetched_unless_an_entry_asks_for_it => |mut f: Fixture| {
+        let asked = announced(5, &[]);
+        let not_asked = ViewAnnouncement { keep_copy: false, ..asked.clone() };
+        f.step(|s, now| s.view_announced(SESSION, not_asked, now));
+        f.advance(MAX_FETCH_DELAY);
+        f.advance(MAX_FETCH_DELAY);
+        assert!(f.view_requests().is_empty());
+        f.step(|s, now| s.view_announced(SESSION, asked, now));
+        f.advance(MAX_FETCH_DELAY);
+        assert_eq!(f.view_requests(), vec![SESSION]);
+    };
+
+    a_request_for_a_view_that_the_agent_has_not_copied_is_passed_on => |mut f: Fixture| {
+        f.step(|s, now| s.session_opened(&client(2), 2, now));
+        f.step(|s, now| s.view_announced(SESSION, announced(5, &[]), now));
+        let range = ViewRange { position: 5, offset: 0 };
+        f.step(|s, _| s.view_requested(2, range));
+        assert_eq!(f.view_requests(), vec![SESSION]);
+        let part = EncodedView::new(5, "view".into()).part(range);
+        f.step(|s, now| s.view_part_received(SESSION, &part, now));
+        assert_eq!(f.view_parts(2), vec![part.clone()]);
+        // An answer is passed on once.
+        f.step(|s, now| s.view_part_received(SESSION, &part, now));
+        assert_eq!(f.view_parts(2).len(), 1);
+    };
+
+    a_request_for_a_view_that_nobody_has_is_not_passed_on => |mut f: Fixture| {
+        f.step(|s, now| s.session_opened(&client(2), 2, now));
+        f.step(|s, now| s.view_announced(SESSION, announced(4, &[]), now));
+        f.step(|s, now| s.view_announced(2, announced(5, &[]), now));
+        f.step(|s, _| s.view_requested(2, ViewRange { position: 5, offset: 0 }));
+        assert!(f.view_requests().is_empty());
     };
 
     an_address_of_an_earlier_process_of_an_entry_is_not_used_again => |mut f: Fixture| {
@@ -534,26 +601,15 @@
     };
 
     runs_in_a_zone_that_is_out_are_refused => |mut f: Fixture| {
-        let view = OperatorView {
-            position: 1,
-            zones_out: ["zone-a".into()].into(),
-            ..OperatorView::default()
-        };
-        f.step(|s, now| s.update_view(SESSION, view, now));
+        f.step(|s, now| s.view_announced(SESSION, announced(1, &["zone-a"]), now));
         f.submit(request(0, 1));
         let reason = NotStartedReason::ZoneOut;
         assert_eq!(f.results(), vec![RunResult::NotStarted(reason)]);
     };
 
     an_older_operator_view_does_not_replace_a_newer_one => |mut f: Fixture| {
-        let newer = OperatorView {
-            position: 2,
-            zones_out: ["zone-a".into()].into(),
-            ..OperatorView::default()
-        };
-        f.step(|s, now| s.update_view(SESSION, newer, now));
-        let older = OperatorView { position: 1, ..OperatorView::default() };
-        f.step(|s, now| s.update_view(SESSION, older, now));
+        f.step(|s, now| s.view_announced(SESSION, announced(2, &["zone-a"]), now));
+        f.step(|s, now| s.view_announced(SESSION, announced(1, &[]), now));
         f.submit(request(0, 1));
         assert!(f.take_start().is_none());
     };
--- /dev/null
+++ b/crates/masticcross-jobs/src/view/mod.rs
@@ -0,0 +1,20 @@
+//! Exchange of the operator view among processes.
+//!
+//! A view has up to megabytes, and links are as thin as 25 Mbit/s. Processes therefore announce a
+//! summary, which is all that an agent needs for its decisions, and send the view itself only on
+//! request and in parts: heartbeats wait behind one part at most, and a transfer that breaks continues
+//! where it was, also on another session.
+//!
+//! - [`encoded`]: a view in the form in which it is sent.
+//! - [`fetch`]: when and where a process requests the parts of a newer view.
+//! - [`relay`]: requests that an agent passes on from one entry to another.
+
+pub mod encoded;
+pub mod fetch;
+pub mod relay;
+
+#[cfg(test)]
+mod tests;
+
+/// Session number, unique in this process.
+pub type SessionId = u64;
--- a/crates/masticcross-jobs/tests/extreme_input.rs
+++ b/crates/masticcross-jobs/tests/extreme_input.rs
@@ -12,7 +12,7 @@
 use masticcross_wire::NotStartedReason;
 use masticcross_wire::pool::{
     EntryAddr, FreeResources, OperatorView, Queue, Resources, Resume, RunEnd, RunId, RunRequest,
-    RunResult, TaskId, WorkerInfo,
+    RunResult, TaskId, ViewAnnouncement, ViewPart, ViewRange, WorkerInfo,
 };
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use smallvec::smallvec;
@@ -108,6 +108,24 @@
         }
     }
 
+    fn range(&mut self) -> ViewRange {
+        ViewRange {
+            position: self.next(),
+            offset: self.next(),
+        }
+    }
+
+    fn part(&mut self) -> ViewPart {
+        let len = usize::from(self.small());
+        ViewPart {
+            position: self.next(),
+            digest: self.next(),
+            total: self.next(),
+            offset: self.next(),
+            bytes: vec![0; len].into(),
+        }
+    }
+
     fn view(&mut self) -> OperatorView {
         let stretches = [f64::NAN, f64::INFINITY, -1.0, 1.5];
         let queue = Queue {
@@ -131,8 +149,12 @@
 fn act_on_scheduler(scheduler: &mut Scheduler, kind: u8, mut n: Numbers, now: Instant) {
     let session = 1 + u64::from(n.small());
     let agent = format!("agent-{session}").into();
-    match kind % 10 {
+    match kind % 12 {
         8 => scheduler.view_announced(session, n.next(), now),
+        10 => scheduler.view_requested(session, n.range()),
+        11 => {
+            scheduler.view_part_received(session, &n.part(), now);
+        }
         0 => {
             scheduler.update_view(n.view());
         }
@@ -179,8 +201,15 @@
 
 fn act_on_supervisor(supervisor: &mut Supervisor, kind: u8, mut n: Numbers, now: Instant) {
     let session = 1 + u64::from(n.small());
-    match kind % 9 {
-        7 => supervisor.view_announced(session, n.next(), now),
+    match kind % 10 {
+        7 => {
+            let view = ViewAnnouncement {
+                summary: n.view().summary(),
+                keep_copy: n.small() > 0,
+            };
+            supervisor.view_announced(session, view, now);
+        }
+        8 => supervisor.view_requested(session, n.range()),
         0 => {
             let client = ClientId {
                 name: format!("entry-{session}").into(),
@@ -212,7 +241,7 @@
         }
         4 => poll(supervisor, n, now),
         5 => supervisor.tick(now),
-        6 => supervisor.update_view(session, n.view(), now),
+        6 => supervisor.view_part_received(session, &n.part(), now),
         _ => {
             let entry = EntryAddr {
                 name: "entry".into(),
@@ -276,7 +305,7 @@
 fn a_supervisor_survives_any_input() {
     fn property(actions: Actions) -> bool {
         let mut now = Instant::now();
-        let mut supervisor = Supervisor::new(Duration::from_secs(1), 1, now);
+        let mut supervisor = Supervisor::new("agent-1", Duration::from_secs(1), 1, now);
         for (kind, numbers) in actions.0 {
             act_on_supervisor(&mut supervisor, kind, Numbers(numbers.into_iter()), now);
             now += Duration::from_millis(30);
--- a/crates/masticcross-jobs/tests/schedule/simulation.rs
+++ b/crates/masticcross-jobs/tests/schedule/simulation.rs
@@ -444,9 +444,9 @@
         let supervisor = &mut self.agents[agent].supervisor;
         match frame {
             PoolFrame::Echo(probe) => supervisor.echoed(number, probe, now),
-            PoolFrame::View(view) => supervisor.update_view(number, *view, now),
-            PoolFrame::ViewPosition(position) => supervisor.view_announced(number, position, now),
-            PoolFrame::FetchView => supervisor.send_view(number),
+            PoolFrame::View(view) => supervisor.view_announced(number, view, now),
+            PoolFrame::FetchView(range) => supervisor.view_requested(number, range),
+            PoolFrame::ViewPart(part) => supervisor.view_part_received(number, &part, now),
             PoolFrame::Run(requests) => supervisor.run(number, requests, now),
             PoolFrame::Stop(ids) => supervisor.stop(number, &ids, now),
             other => panic!("{} sent to an agent", other.kind()),
@@ -476,12 +476,13 @@
             PoolFrame::Resume(resume) => state.scheduler.resumed(&name, number, &resume, now),
             PoolFrame::Ended(ends) => state.scheduler.ended(&name, number, &ends, now),
             PoolFrame::View(view) => {
-                state.scheduler.update_view(*view);
-            }
-            PoolFrame::ViewPosition(position) => {
+                let position = view.summary.position;
                 state.scheduler.view_announced(number, position, now);
             }
-            PoolFrame::FetchView => state.scheduler.send_view(number),
+            PoolFrame::FetchView(range) => state.scheduler.view_requested(number, range),
+            PoolFrame::ViewPart(part) => {
+                state.scheduler.view_part_received(number, &part, now);
+            }
             PoolFrame::Entries(_) => {}
             other => panic!("{} sent to an entry", other.kind()),
         }
@@ -752,7 +753,7 @@
     fn new_agent(&self, incarnation: u64) -> AgentState {
         let unix_ms = 1_000_000 + self.now;
         AgentState {
-            supervisor: Supervisor::new(Duration::from_secs(1), unix_ms, self.instant()),
+            supervisor: Supervisor::new("agent", Duration::from_secs(1), unix_ms, self.instant()),
             incarnation,
             missed_polls: 0,
             frozen_until: 0,
--- a/crates/masticcross-wire/src/codec/mod.rs
+++ b/crates/masticcross-wire/src/codec/mod.rs
@@ -8,6 +8,7 @@
 
 use crate::frame::{AttemptState, Frame, TaskOutcome};
 use crate::job::{JobAnswer, JobRecord, JobRequest, Json, TaskRecord};
+use crate::pool::OperatorView;
 
 /// Largest accepted size of a batch, in bytes.
 pub const MAX_BATCH_BYTES: usize = 32 * 1024 * 1024;
@@ -64,6 +65,24 @@
     Ok(batch)
 }
 
+/// Encodes an operator view.
+///
+/// # Errors
+/// Fails if the view cannot be encoded.
+pub fn encode_view(view: &OperatorView) -> Result<Bytes> {
+    let mut buf = Vec::new();
+    ciborium::into_writer(view, &mut buf).map_err(|e| CodecError::Encode(e.to_string()))?;
+    Ok(buf.into())
+}
+
+/// Decodes an operator view.
+///
+/// # Errors
+/// Fails if the bytes are not an operator view.
+pub fn decode_view(bytes: &[u8]) -> Result<OperatorView> {
+    ciborium::from_reader(bytes).map_err(|e| CodecError::Decode(e.to_string()))
+}
+
 /// Estimates the encoded size of a frame, for the limits of a batch. The JSON in the frame counts
 /// with its length, everything else with a fixed size per part.
 #[must_use]
--- a/crates/masticcross-wire/src/codec/tests/pool.rs
+++ b/crates/masticcross-wire/src/codec/tests/pool.rs
@@ -7,7 +7,7 @@
 use crate::frame::NotStartedReason;
 use crate::pool::{
     EntryAddr, FreeResources, OperatorView, PoolFrame, Queue, Resources, Resume, RunEnd, RunId,
-    RunRequest, RunResult, TaskId, WorkerInfo,
+    RunRequest, RunResult, TaskId, ViewAnnouncement, ViewPart, ViewRange, WorkerInfo,
 };
 
 /// Generates a message of any kind.
@@ -15,7 +15,10 @@
     match u8::arbitrary(g) % 12 {
         0 => PoolFrame::Probe(u64::arbitrary(g)),
         1 => PoolFrame::Echo(u64::arbitrary(g)),
-        2 => PoolFrame::View(Box::new(view(g))),
+        2 => PoolFrame::View(ViewAnnouncement {
+            summary: view(g).summary(),
+            keep_copy: bool::arbitrary(g),
+        }),
         3 => PoolFrame::Entries(list(g, |g| EntryAddr {
             name: name(g),
             addr: ([10, 0, 0, u8::arbitrary(g)], u16::arbitrary(g)).into(),
@@ -35,13 +38,23 @@
         }),
         7 => PoolFrame::Run(list(g, request)),
         8 => PoolFrame::Stop(list(g, run)),
-        9 => PoolFrame::ViewPosition(u64::arbitrary(g)),
-        10 => PoolFrame::FetchView,
+        9 => PoolFrame::ViewPart(ViewPart {
+            position: u64::arbitrary(g),
+            digest: u64::arbitrary(g),
+            total: u64::arbitrary(g),
+            offset: u64::arbitrary(g),
+            bytes: Vec::arbitrary(g).into(),
+        }),
+        10 => PoolFrame::FetchView(ViewRange {
+            position: u64::arbitrary(g),
+            offset: u64::arbitrary(g),
+        }),
         _ => PoolFrame::Ended(list(g, end)),
     }
 }
 
-fn view(g: &mut Gen) -> OperatorView {
+/// Generates an operator view.
+pub fn view(g: &mut Gen) -> OperatorView {
     OperatorView {
         position: u64::arbitrary(g),
         config_version: u64::arbitrary(g),
--- a/crates/masticcross-wire/src/pool.rs
+++ b/crates/masticcross-wire/src/pool.rs
@@ -9,6 +9,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 
+use bytes::Bytes;
 use masticcross_basics::Name;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
@@ -210,6 +211,62 @@
     pub zones_out: BTreeSet<Name>,
 }
 
+impl OperatorView {
+    /// Returns the part of the view that agents decide by.
+    #[must_use]
+    pub fn summary(&self) -> ViewSummary {
+        ViewSummary {
+            position: self.position,
+            config_version: self.config_version,
+            zones_out: self.zones_out.clone(),
+        }
+    }
+}
+
+/// The part of an [`OperatorView`] that agents decide by.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Default)]
+pub struct ViewSummary {
+    /// Position in the operators' stream up to which records were applied; 0 without a view.
+    pub position: u64,
+    /// Version of the configuration.
+    pub config_version: u64,
+    /// Availability zones that are out of service; nothing may start in them.
+    pub zones_out: BTreeSet<Name>,
+}
+
+/// Announcement of a process's operator view.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ViewAnnouncement {
+    /// Summary of the view.
+    pub summary: ViewSummary,
+    /// From an entry: whether the agent is asked to keep a copy of the whole view.
+    pub keep_copy: bool,
+}
+
+/// A part of an encoded operator view.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ViewRange {
+    /// Position of the view.
+    pub position: u64,
+    /// Offset of the first byte.
+    pub offset: u64,
+}
+
+/// Bytes of an encoded operator view.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ViewPart {
+    /// Position of the view.
+    pub position: u64,
+    /// `XxHash3` of all bytes of the view.
+    pub digest: u64,
+    /// Number of bytes of the view.
+    pub total: u64,
+    /// Offset of the first byte of this part.
+    pub offset: u64,
+    /// The bytes.
+    pub bytes: Bytes,
+}
+
 /// Address at which an entry accepts agents.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct EntryAddr {
@@ -247,12 +304,12 @@
     Probe(u64),
     /// From the entry: the time of a probe, sent back.
     Echo(u64),
-    /// From either: position of the sender's operator settings.
-    ViewPosition(u64),
-    /// From either: a request for the operator settings.
-    FetchView,
-    /// From either: operator settings, as requested.
-    View(Box<OperatorView>),
+    /// From either: summary of the sender's operator settings.
+    View(ViewAnnouncement),
+    /// From either: a request for a part of the operator settings.
+    FetchView(ViewRange),
+    /// From either: a part of the operator settings, as requested, or the first part of newer ones.
+    ViewPart(ViewPart),
     /// From either: the entries known to the sender.
     Entries(Vec<EntryAddr>),
     /// From the agent: its worker; none if there is no worker at present.
@@ -276,9 +333,9 @@
         match self {
             Self::Probe(_) => "probe",
             Self::Echo(_) => "echo",
-            Self::ViewPosition(_) => "view_position",
-            Self::FetchView => "fetch_view",
             Self::View(_) => "operator_view",
+            Self::FetchView(_) => "fetch_view",
+            Self::ViewPart(_) => "view_part",
             Self::Entries(_) => "entries",
             Self::Worker(_) => "worker",
             Self::Free(_) => "free",
@@ -295,11 +352,11 @@
         match self {
             Self::Probe(_)
             | Self::Echo(_)
-            | Self::ViewPosition(_)
-            | Self::FetchView
+            | Self::FetchView(_)
+            | Self::ViewPart(_)
             | Self::Worker(_)
             | Self::Free(_) => 1,
-            Self::View(view) => view.queues.len() * 2 + view.services.len() + 1,
+            Self::View(view) => view.summary.zones_out.len() + 1,
             Self::Entries(entries) => entries.len(),
             Self::Resume(resume) => resume.running.len() + resume.ended.len(),
             Self::Run(requests) => requests.len(),
@@ -308,10 +365,11 @@
         }
     }
 
-    /// Returns the total length of the task specifications, in bytes.
+    /// Returns the total length of task specifications and of parts of views, in bytes.
     #[must_use]
     pub(crate) fn text_bytes(&self) -> usize {
         match self {
+            Self::ViewPart(part) => part.bytes.len(),
             Self::Run(requests) => requests.iter().map(|request| request.spec.len()).sum(),
             _ => 0,
         }
