--- a/crates/masticcross-standins/src/relay/faults.rs
+++ b/crates/masticcross-standins/src/relay/faults.rs
@@ -4,8 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
+use tokio::time::{Instant, sleep_until};
 
 /// Maximum delay in each direction.
 const MAX_DELAY_MS: u64 = 600_000;
@@ -31,6 +33,9 @@
     pub freeze_to_client: bool,
     /// Delay of all bytes in each direction, in milliseconds.
     pub delay_ms: u64,
+    /// Bandwidth of each direction, in bytes per second, which all connections of the relay share; 0
+    /// means no limit.
+    pub bytes_per_s: u64,
 }
 
 impl LinkFaults {
@@ -56,10 +61,34 @@
             freeze_to_target: self.freeze_to_target || other.freeze_to_target,
             freeze_to_client: self.freeze_to_client || other.freeze_to_client,
             delay_ms: self.delay_ms.saturating_add(other.delay_ms),
+            bytes_per_s: match (self.bytes_per_s, other.bytes_per_s) {
+                (0, limit) | (limit, 0) => limit,
+                (one, other) => one.min(other),
+            },
         }
     }
 }
 
+/// Times until which the two directions of a relay are busy with bytes at their bandwidth.
+#[derive(Debug, Clone, Default)]
+pub struct Bandwidth(Arc<Mutex<[Option<Instant>; 2]>>);
+
+impl Bandwidth {
+    /// Reserves the time to transmit bytes. Returns when they have been transmitted.
+    #[must_use]
+    pub fn reserve(&self, direction: Direction, bytes: usize, bytes_per_s: u64) -> Instant {
+        let now = Instant::now();
+        if bytes_per_s == 0 {
+            return now;
+        }
+        let nanos = bytes as u64 * 1_000_000_000 / bytes_per_s;
+        let busy_until = &mut self.0.lock()[direction as usize];
+        let until = busy_until.unwrap_or(now).max(now) + Duration::from_nanos(nanos);
+        *busy_until = Some(until);
+        until
+    }
+}
+
 /// Faults of all connections and of single connections. A missing field means no fault.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -81,22 +110,25 @@
 
 /// A handle for setting faults. Clones share the faults.
 #[derive(Debug, Clone, Default)]
-pub struct RelayFaults(Arc<watch::Sender<FaultTable>>);
+pub struct RelayFaults {
+    table: Arc<watch::Sender<FaultTable>>,
+    bandwidth: Bandwidth,
+}
 
 impl RelayFaults {
     /// Replaces all faults.
     pub fn replace(&self, table: FaultTable) {
-        self.0.send_replace(table);
+        self.table.send_replace(table);
     }
 
     /// Changes the faults of all connections.
     pub fn change(&self, change: impl FnOnce(&mut LinkFaults)) {
-        self.0.send_modify(|table| change(&mut table.all));
+        self.table.send_modify(|table| change(&mut table.all));
     }
 
     /// Changes the faults of one connection.
     pub fn change_for(&self, connection: u64, change: impl FnOnce(&mut LinkFaults)) {
-        self.0
+        self.table
             .send_modify(|table| change(table.connections.entry(connection).or_default()));
     }
 
@@ -109,7 +141,8 @@
     pub(super) fn for_connection(&self, connection: u64) -> ConnectionFaults {
         ConnectionFaults {
             connection,
-            table: self.0.subscribe(),
+            table: self.table.subscribe(),
+            bandwidth: self.bandwidth.clone(),
         }
     }
 }
@@ -119,6 +152,7 @@
 pub struct ConnectionFaults {
     connection: u64,
     table: watch::Receiver<FaultTable>,
+    bandwidth: Bandwidth,
 }
 
 impl ConnectionFaults {
@@ -128,6 +162,12 @@
         self.table.borrow().for_connection(self.connection)
     }
 
+    /// Waits until bytes have been transmitted at the bandwidth of a direction.
+    pub async fn transmit(&self, direction: Direction, bytes: usize) {
+        let bytes_per_s = self.current().bytes_per_s;
+        sleep_until(self.bandwidth.reserve(direction, bytes, bytes_per_s)).await;
+    }
+
     /// Waits until the connection is cut. Never returns after the relay is dropped.
     pub async fn wait_until_cut(mut self) {
         self.wait_until(|faults| faults.cut).await;
--- a/crates/masticcross-standins/src/relay/forward.rs
+++ b/crates/masticcross-standins/src/relay/forward.rs
@@ -72,6 +72,7 @@
     while let Some(chunk) = rx.recv().await {
         sleep_until(chunk.due).await;
         faults.wait_until_unfrozen(direction).await;
+        faults.transmit(direction, chunk.bytes.len()).await;
         writer.write_all(&chunk.bytes).await?;
         written_bytes.fetch_add(chunk.bytes.len() as u64, Ordering::Relaxed);
     }
--- a/crates/masticcross-standins/src/relay/tests.rs
+++ b/crates/masticcross-standins/src/relay/tests.rs
@@ -163,3 +163,30 @@
     let (relayed, ()) = tokio::join!(relay, endpoints);
     relayed.expect("relay");
 }
+
+#[tokio::test(start_paused = true)]
+async fn connections_share_the_bandwidth_of_a_direction() {
+    let faults = RelayFaults::default();
+    faults.change(|all| all.bytes_per_s = 1_000);
+    let start = Instant::now();
+    let relay_one = async |connection: u64| {
+        let written_bytes = AtomicU64::new(0);
+        let (mut target_side, mut target) = duplex(1024);
+        let bytes: &[u8] = &[7; 100];
+        let faults = faults.for_connection(connection);
+        let relay = forward::forward(
+            bytes,
+            &mut target_side,
+            Direction::ToTarget,
+            faults,
+            &written_bytes,
+        );
+        relay.await.expect("relay");
+        drop(target_side);
+        let mut received = Vec::new();
+        target.read_to_end(&mut received).await.expect("read");
+        assert_eq!(received, bytes);
+    };
+    tokio::join!(relay_one(1), relay_one(2));
+    assert_eq!(start.elapsed(), Duration::from_millis(200));
+}
