Give an entry without a view an older copy if nobody has the newest one

Cause: the copies at agents are some seconds older than their summary. An entry that starts while the store is down asks for the newest position; if no other entry is left that has it, nothing was sent, although a copy existed.

Change: an agent sends its copy if it can pass the request on to nobody.

--- a/crates/masticcross-jobs/src/supervisor/operator_view.rs
+++ b/crates/masticcross-jobs/src/supervisor/operator_view.rs
@@ -60,15 +60,17 @@
     }
 
     /// Answers an entry's request for a part of the operator view from the copy, or passes it on to
-    /// an entry that has the view.
+    /// an entry that has the view. If there is neither, the entry gets an older copy, as it may have no
+    /// view at all.
     pub fn view_requested(&mut self, session: SessionId, range: ViewRange) {
-        let copy = self.view_copy.as_ref();
-        if let Some(copy) = copy.filter(|copy| copy.position() >= range.position) {
-            let frame = PoolFrame::ViewPart(copy.part(range));
-            self.effects.push(Effect::Send(session, frame));
-        } else if let Some(source) = self.view_relay.requested(session, range) {
+        if self.copy_position() < range.position
+            && let Some(source) = self.view_relay.requested(session, range)
+        {
             let frame = PoolFrame::FetchView(range);
             self.effects.push(Effect::Send(source, frame));
+        } else if let Some(copy) = &self.view_copy {
+            let frame = PoolFrame::ViewPart(copy.part(range));
+            self.effects.push(Effect::Send(session, frame));
         }
     }
 
--- a/crates/masticcross-jobs/src/supervisor/tests.rs
+++ b/crates/masticcross-jobs/src/supervisor/tests.rs
@@ -334,6 +334,19 @@
         assert_eq!(f.view_parts(2), vec![copy.part(range)]);
     };
 
+    an_older_copy_is_sent_if_no_entry_has_the_newer_view => |mut f: Fixture| {
+        let copy = EncodedView::new(5, "view".into());
+        let range = |position| ViewRange { position, offset: 0 };
+        f.step(|s, now| s.view_announced(SESSION, announced(5, &[]), now));
+        f.advance(MAX_FETCH_DELAY);
+        f.step(|s, now| s.view_part_received(SESSION, &copy.part(range(5)), now));
+        f.step(|s, now| s.session_opened(&client(2), 2, now));
+        f.step(|s, now| s.view_announced(SESSION, announced(6, &[]), now));
+        f.step(|s, _| s.session_closed(SESSION));
+        f.step(|s, _| s.view_requested(2, range(6)));
+        assert_eq!(f.view_parts(2), vec![copy.part(range(5))]);
+    };
+
     no_copy_of_the_operator_view_is_fetched_unless_an_entry_asks_for_it => |mut f: Fixture| {
         let asked = announced(5, &[]);
         let not_asked = ViewAnnouncement { keep_copy: false, ..asked.clone() };
