Limit the time without progress of a read of the log, not its whole duration

Cause: a read had to be complete a second after its wait. Batches have up to 1 MiB, so that a reader on a link under 1 MB a second, or behind by that much, dropped each reply half-way and started again. Change: the limit holds until the reply begins, and then for each time without a byte. Appends keep their limit.

--- a/crates/masticcross-log/src/http/mod.rs
+++ b/crates/masticcross-log/src/http/mod.rs
@@ -20,7 +20,7 @@
 use tokio::time::timeout;
 
 use crate::{Batch, Bounds, Log, LogError, Offset, Result};
-use reply::Reply;
+use reply::{ExchangeError, Reply};
 
 /// Maximum number of idle connections.
 const MAX_IDLE_CONNECTIONS: usize = 8;
@@ -39,7 +39,8 @@
     pub connect_timeout: Duration,
     /// Time limit for an append.
     pub append_timeout: Duration,
-    /// Time limit for a read, in addition to its wait.
+    /// Time limit until the reply to a read begins, in addition to its wait, and for each time without
+    /// a byte after that.
     pub read_timeout: Duration,
     /// Maximum size of a reply, in bytes.
     pub max_reply_bytes: usize,
@@ -86,7 +87,11 @@
         let path = format!("{}/records", stream_path(stream)?);
         let body = Bytes::copy_from_slice(data.as_bytes());
         let req = self.request(Method::POST, &path, body)?;
-        let exchange = self.exchange(req);
+        let exchange = async {
+            let response = self.client.request(req).await?;
+            let settings = &self.settings;
+            Reply::receive(response, settings.max_reply_bytes, settings.append_timeout).await
+        };
         match timeout(self.settings.append_timeout, exchange).await {
             Ok(Ok(reply)) => reply.into_offset(),
             Ok(Err(e)) => Err(e.into_append_error()),
@@ -112,11 +117,13 @@
 
     async fn get(&self, path: &str, wait: Duration) -> Result<Reply> {
         let req = self.request(Method::GET, path, Bytes::new())?;
-        match timeout(wait + self.settings.read_timeout, self.exchange(req)).await {
-            Ok(Ok(reply)) => Ok(reply),
-            Ok(Err(e)) => Err(e.into_read_error()),
-            Err(_) => Err(LogError::Unavailable("no reply in time".to_owned())),
-        }
+        let settings = &self.settings;
+        let response = timeout(wait + settings.read_timeout, self.client.request(req)).await;
+        let response =
+            response.map_err(|_| LogError::Unavailable("no reply in time".to_owned()))?;
+        let response = response.map_err(|e| ExchangeError::from(e).into_read_error())?;
+        let reply = Reply::receive(response, settings.max_reply_bytes, settings.read_timeout);
+        reply.await.map_err(ExchangeError::into_read_error)
     }
 
     fn request(&self, method: Method, path: &str, body: Bytes) -> Result<Request<Full<Bytes>>> {
@@ -133,11 +140,6 @@
             .body(Full::new(body))
             .map_err(not_sent)
     }
-
-    async fn exchange(&self, req: Request<Full<Bytes>>) -> reply::Result<Reply> {
-        let response = self.client.request(req).await?;
-        Reply::receive(response, self.settings.max_reply_bytes).await
-    }
 }
 
 impl Log for HttpLog {
--- a/crates/masticcross-log/src/http/reply.rs
+++ b/crates/masticcross-log/src/http/reply.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -10,6 +10,7 @@
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use thiserror::Error;
+use tokio::time::timeout;
 
 use crate::{Batch, Bounds, LogError, Offset};
 
@@ -31,6 +32,9 @@
     /// The body of the reply is incomplete or over the size limit.
     #[error("reply broke off: {0}")]
     Body(Box<dyn std::error::Error + Send + Sync>),
+    /// No byte of the reply arrived for the given time.
+    #[error("no byte of the reply for {0:?}")]
+    Idle(Duration),
 }
 
 /// Result of an exchange.
@@ -70,14 +74,26 @@
 }
 
 impl Reply {
-    /// Receives the body of a response, up to a size limit.
-    pub async fn receive(response: Response<Incoming>, max_bytes: usize) -> Result<Self> {
+    /// Receives the body of a response, up to a size limit. `idle` is the longest time without a byte.
+    pub async fn receive(
+        response: Response<Incoming>,
+        max_bytes: usize,
+        idle: Duration,
+    ) -> Result<Self> {
         let (parts, body) = response.into_parts();
-        let body = Limited::new(body, max_bytes)
-            .collect()
-            .await
-            .map_err(ExchangeError::Body)?
-            .to_bytes();
+        let mut body = Limited::new(body, max_bytes);
+        let mut buf = BytesMut::new();
+        loop {
+            let frame = timeout(idle, body.frame()).await;
+            match frame.map_err(|_| ExchangeError::Idle(idle))? {
+                Some(frame) => {
+                    let frame = frame.map_err(ExchangeError::Body)?;
+                    buf.extend_from_slice(&frame.into_data().unwrap_or_default());
+                }
+                None => break,
+            }
+        }
+        let body = buf.freeze();
         Ok(Self {
             status: parts.status,
             headers: parts.headers,
--- a/crates/masticcross-log/src/http/tests.rs
+++ b/crates/masticcross-log/src/http/tests.rs
@@ -180,6 +180,47 @@
     reply_with_an_invalid_chunk_leaves_append_unknown: b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n";
 }
 
+/// Answers each connection with a batch of one record, and sends it in parts.
+async fn slow_server(interval: Duration) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let address = listener.local_addr().expect("address").to_string();
+    let body = r#"{"first":0,"next":1,"records":[{"offset":0,"data":"a"}]}"#;
+    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut buf = [0; 4096];
+            let _ = stream.read(&mut buf).await;
+            let _ = stream.write_all(head.as_bytes()).await;
+            for part in body.as_bytes().chunks(8) {
+                let _ = stream.write_all(part).await;
+                tokio::time::sleep(interval).await;
+            }
+        }
+    });
+    address
+}
+
+#[tokio::test]
+async fn a_read_that_makes_progress_takes_longer_than_its_time_limit() {
+    let address = slow_server(Duration::from_millis(100)).await;
+    let mut settings = HttpLogSettings::new(address, Name::from("test"));
+    settings.read_timeout = Duration::from_millis(400);
+    let read = HttpLog::new(settings).read("s", 0, 1, Duration::ZERO).await;
+    assert_eq!(read.expect("a batch").records.len(), 1);
+}
+
+#[tokio::test]
+async fn a_read_without_progress_ends_at_its_time_limit() {
+    let address = slow_server(AMPLE_TIMEOUT).await;
+    let mut settings = HttpLogSettings::new(address, Name::from("test"));
+    settings.read_timeout = Duration::from_millis(100);
+    let read = HttpLog::new(settings).read("s", 0, 1, Duration::ZERO).await;
+    assert!(
+        matches!(read, Err(LogError::Unavailable(_))),
+        "got {read:?}"
+    );
+}
+
 quickcheck! {
     fn only_appends_return_unknown_for_any_reply(status: u16, header: u64, body: Vec<u8>) -> bool {
         let status = http::StatusCode::from_u16(100 + status % 500).expect("status");
