Read fewer records at once after a read of the log that took too long

Change: the number of records in a read is halved after one that took too long, and doubled after each other one, so that a reader makes progress while one record fits. Evidence: an_entry_catches_up_although_it_cannot_read_all_records_in_time (40 documents of 0.1 s each) failed before, with no document read after 20 s, and passes.

--- a/crates/masticcross-ledger/src/tail.rs
+++ b/crates/masticcross-ledger/src/tail.rs
@@ -25,7 +25,8 @@
 /// Maximum number of concurrent reads.
 const MAX_CONCURRENT_READS: usize = 8;
 
-/// Maximum number of records in one read.
+/// Maximum number of records in one read. It is halved after a read that took too long, and doubled
+/// after each other one.
 const READ_LIMIT: usize = 1024;
 
 /// Backoff after the first failed read. It doubles with each further failure.
@@ -37,7 +38,8 @@
 /// Result of a read.
 struct ReadReply {
     sent: Instant,
-    result: Result<Batch, LogError>,
+    /// `None` if the read took too long.
+    result: Option<Result<Batch, LogError>>,
 }
 
 /// Reads a stream until the process ends.
@@ -63,6 +65,7 @@
     reads: JoinSet<ReadReply>,
     next_at: Instant,
     backoff: Duration,
+    read_limit: usize,
     rng: SmallRng,
 }
 
@@ -75,6 +78,7 @@
             reads: JoinSet::new(),
             next_at: Instant::now(),
             backoff: INITIAL_BACKOFF,
+            read_limit: READ_LIMIT,
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -84,18 +88,23 @@
         let sent = Instant::now();
         self.next_at = sent + NEXT_READ_AFTER;
         let ledger = self.ledger.clone();
-        let kind = self.kind;
+        let (kind, limit) = (self.kind, self.read_limit);
         self.reads.spawn(async move {
-            let result = read(&ledger, kind, from).await;
+            let result = read(&ledger, kind, from, limit).await;
             ReadReply { sent, result }
         });
     }
 
     fn handle_reply(&mut self, reply: ReadReply) {
         let now = Instant::now();
-        match reply.result {
+        if reply.result.is_none() {
+            self.read_limit = (self.read_limit / 2).max(1);
+        }
+        let timed_out = || Err(LogError::Unavailable("read timed out".to_owned()));
+        match reply.result.unwrap_or_else(timed_out) {
             Ok(batch) => {
                 self.backoff = INITIAL_BACKOFF;
+                self.read_limit = (self.read_limit * 2).min(READ_LIMIT);
                 let progressed = self.ledger.apply_batch(self.kind, reply.sent, &batch);
                 if !progressed {
                     // The log replies immediately, but none of its records could be used.
@@ -118,10 +127,14 @@
     }
 }
 
-async fn read(ledger: &Ledger, kind: StreamKind, from: Offset) -> Result<Batch, LogError> {
+/// Returns `None` if the read takes too long.
+async fn read(
+    ledger: &Ledger,
+    kind: StreamKind,
+    from: Offset,
+    limit: usize,
+) -> Option<Result<Batch, LogError>> {
     let stream = ledger.stream_name(kind);
-    let read = ledger.log().read(stream, from, READ_LIMIT, READ_WAIT);
-    timeout(READ_WAIT + READ_TIMEOUT, read)
-        .await
-        .unwrap_or_else(|_| Err(LogError::Unavailable("read timed out".to_owned())))
+    let read = ledger.log().read(stream, from, limit, READ_WAIT);
+    timeout(READ_WAIT + READ_TIMEOUT, read).await.ok()
 }
--- a/crates/masticcross-ledger/tests/common/mod.rs
+++ b/crates/masticcross-ledger/tests/common/mod.rs
@@ -8,6 +8,7 @@
 use masticcross_ledger::{
     Ledger, LedgerIdentity, LedgerSettings, PartitionClaim, PartitionsChange,
 };
+use masticcross_log::Log;
 use masticcross_standins::log::{MemoryLog, MemoryLogSettings};
 use masticcross_wire::{Incarnation, Member};
 
@@ -20,14 +21,18 @@
 
 /// Starts a ledger that reads the log under the name of its entry.
 pub fn start(log: &MemoryLog, name: &str, settings: LedgerSettings) -> Arc<Ledger> {
+    start_on(Arc::new(log.client(name)), name, settings)
+}
+
+/// Starts a ledger that reads a log.
+pub fn start_on(log: Arc<dyn Log>, name: &str, settings: LedgerSettings) -> Arc<Ledger> {
     let identity = LedgerIdentity {
         name: Name::from(name),
         incarnation: 1,
         region: Name::from("perth"),
     };
     let timeline = Timeline::new(Name::from(name), 1000);
-    let client = Arc::new(log.client(name));
-    let ledger = Ledger::with_settings(identity, client, timeline, settings);
+    let ledger = Ledger::with_settings(identity, log, timeline, settings);
     tokio::spawn(ledger.clone().run());
     ledger
 }
--- a/crates/masticcross-ledger/tests/replication.rs
+++ b/crates/masticcross-ledger/tests/replication.rs
@@ -6,11 +6,12 @@
 use std::time::Duration;
 
 use common::{PARTITIONS_STREAM, claim, document, join, new_log, start};
+use futures_util::future::BoxFuture;
 use masticcross_basics::{Epoch, Partition};
 use masticcross_ledger::{
     CONFIG_STREAM, Ledger, LedgerSettings, PublishOutcome, publish, read_config,
 };
-use masticcross_log::{Log, LogError};
+use masticcross_log::{Batch, Bounds, Log, LogError, Offset, Result};
 use masticcross_standins::log::{MemoryLog, Occurrence};
 use tokio::time::{Instant, sleep};
 
@@ -329,3 +330,55 @@
     waiting.await.unwrap();
     assert!(since.elapsed() >= Duration::from_millis(2_940));
 }
+
+/// Log over a thin link: each record takes some time.
+struct ThinLog {
+    log: MemoryLog,
+    time_per_record: Duration,
+}
+
+impl Log for ThinLog {
+    fn append<'a>(&'a self, stream: &'a str, data: Arc<str>) -> BoxFuture<'a, Result<Offset>> {
+        self.log.append(stream, data)
+    }
+
+    fn read<'a>(
+        &'a self,
+        stream: &'a str,
+        from: Offset,
+        limit: usize,
+        wait: Duration,
+    ) -> BoxFuture<'a, Result<Batch>> {
+        Box::pin(async move {
+            let batch = self.log.read(stream, from, limit, wait).await?;
+            let records = u32::try_from(batch.records.len()).expect("a small batch");
+            sleep(self.time_per_record * records).await;
+            Ok(batch)
+        })
+    }
+
+    fn bounds<'a>(&'a self, stream: &'a str) -> BoxFuture<'a, Result<Bounds>> {
+        self.log.bounds(stream)
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_entry_catches_up_although_it_cannot_read_all_records_in_time() {
+    let log = new_log();
+    for number in 0..40 {
+        let version = u64::from(number);
+        let outcome = publish(&log, version, "ann", &document(number)).await;
+        assert_eq!(
+            outcome.expect("written"),
+            PublishOutcome::Accepted(version + 1)
+        );
+    }
+    let thin = ThinLog {
+        log: log.clone(),
+        time_per_record: Duration::from_millis(100),
+    };
+    let reader = common::start_on(Arc::new(thin), "a", LedgerSettings::default());
+    // The bound for a change of the configuration to be in force everywhere.
+    sleep(Duration::from_secs(20)).await;
+    assert_eq!(reader.state().config.version, 40);
+}
