Keep the announcements of operator views in one place, and count reads that are behind

From reading the change as a newcomer: fetch and relay at an agent had each a list of the announced positions and a choice among them; both are Announcements now. A read that leaves records unread no longer counts as a confirmation of the view in force, and has a label of its own in the metrics. The stand-ins of two test files are shared.

--- a/crates/masticcross-jobs/src/metrics.rs
+++ b/crates/masticcross-jobs/src/metrics.rs
@@ -45,6 +45,8 @@
 pub enum ViewRead {
     /// There were new records.
     Changed,
+    /// There were new records, and there are more.
+    Behind,
     /// There were no new records.
     Unchanged,
     /// The records at the position are no longer stored; the newest ones are read next.
@@ -71,6 +73,7 @@
     fn label(self) -> &'static str {
         match self {
             Self::Changed => "changed",
+            Self::Behind => "behind",
             Self::Unchanged => "unchanged",
             Self::Truncated => "truncated",
             Self::Disconnected => "disconnected",
--- a/crates/masticcross-jobs/src/supervisor/operator_view.rs
+++ b/crates/masticcross-jobs/src/supervisor/operator_view.rs
@@ -42,7 +42,6 @@
             self.keeping_for.remove(&session);
         }
         self.view_fetch.announced(session, summary.position);
-        self.view_relay.announced(session, summary.position);
         if summary.position > self.view.position {
             log::info!(
                 position = summary.position, version = summary.config_version;
@@ -64,8 +63,9 @@
     /// view at all.
     pub fn view_requested(&mut self, session: SessionId, range: ViewRange) {
         if self.copy_position() < range.position
-            && let Some(source) = self.view_relay.requested(session, range)
+            && let Some(source) = self.view_fetch.source(range.position, session)
         {
+            self.view_relay.passed_on(session, source, range);
             let frame = PoolFrame::FetchView(range);
             self.effects.push(Effect::Send(source, frame));
         } else if let Some(copy) = &self.view_copy {
--- a/crates/masticcross-jobs/src/view/fetch.rs
+++ b/crates/masticcross-jobs/src/view/fetch.rs
@@ -1,14 +1,13 @@
 //! When and where a process requests the parts of a newer operator view.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use bytes::BytesMut;
 use masticcross_wire::pool::{ViewPart, ViewRange};
-use smallvec::SmallVec;
 use tokio::time::Instant;
 
 use super::SessionId;
+use super::announcements::Announcements;
 use super::encoded::{EncodedView, MAX_VIEW_BYTES};
 
 /// Time without a part after which another session is asked.
@@ -62,8 +61,7 @@
 #[derive(Debug)]
 pub struct ViewFetch {
     pace: FetchPace,
-    /// Positions of the views that other processes have announced.
-    announced: BTreeMap<SessionId, u64>,
+    announcements: Announcements,
     /// Since when another process has had a newer view.
     behind_since: Option<Instant>,
     /// Session that was asked last, and when.
@@ -71,9 +69,6 @@
     /// True while the answer to the last request is awaited.
     is_waiting: bool,
     partial: Option<Partial>,
-    /// Number of sessions that were chosen; processes that start with different numbers choose
-    /// different sessions.
-    choices: usize,
 }
 
 impl ViewFetch {
@@ -83,32 +78,36 @@
     pub fn new(pace: FetchPace, seed: usize) -> Self {
         Self {
             pace,
-            announced: BTreeMap::new(),
+            announcements: Announcements::new(seed),
             behind_since: None,
             asked: None,
             is_waiting: false,
             partial: None,
-            choices: seed,
         }
     }
 
     /// Records the position that was announced on a session.
     pub fn announced(&mut self, session: SessionId, position: u64) {
-        self.announced.insert(session, position);
+        self.announcements.set(session, position);
     }
 
     /// Removes a session that has ended.
     pub fn closed(&mut self, session: SessionId) {
-        self.announced.remove(&session);
+        self.announcements.remove(session);
         if self.asked.is_some_and(|(asked, _)| asked == session) {
             self.is_waiting = false;
         }
     }
 
+    /// Returns a session, other than the given one, whose process has the view at a position.
+    pub fn source(&mut self, position: u64, except: SessionId) -> Option<SessionId> {
+        self.announcements.choose(position, Some(except))
+    }
+
     /// Returns the session on which to request a part now and the part, if another process has a
     /// newer view than the own position.
     pub fn next(&mut self, own_position: u64, now: Instant) -> Option<(SessionId, ViewRange)> {
-        let newest = self.announced.values().copied().max().unwrap_or(0);
+        let newest = self.announcements.newest();
         if newest <= own_position {
             self.reset();
             return None;
@@ -134,7 +133,11 @@
             position: newest,
             offset: 0,
         });
-        let session = self.choose(range.position)?;
+        let Some(session) = self.announcements.choose(range.position, None) else {
+            // Nobody has the view any more whose parts were received.
+            self.partial = None;
+            return None;
+        };
         self.asked = Some((session, now));
         self.is_waiting = true;
         Some((session, range))
@@ -179,12 +182,14 @@
             return self.complete();
         }
         let range = partial.next_range();
-        self.is_waiting = self.pace.interval.is_zero();
-        if !self.is_waiting {
-            return Progress::Waiting;
+        if self.pace.interval.is_zero() {
+            self.is_waiting = true;
+            self.asked = Some((session, now));
+            Progress::Continue(range)
+        } else {
+            self.is_waiting = false;
+            Progress::Waiting
         }
-        self.asked = Some((session, now));
-        Progress::Continue(range)
     }
 
     fn complete(&mut self) -> Progress {
@@ -205,24 +210,6 @@
         self.is_waiting = false;
         self.partial = None;
     }
-
-    /// Returns a session whose process has the view at a position, another one at each call.
-    fn choose(&mut self, position: u64) -> Option<SessionId> {
-        let has_view = |(_, announced): &(&SessionId, &u64)| **announced >= position;
-        let sessions = self
-            .announced
-            .iter()
-            .filter(has_view)
-            .map(|(session, _)| *session);
-        let sessions: SmallVec<[SessionId; 8]> = sessions.collect();
-        if sessions.is_empty() {
-            // Nobody has the view any more whose parts were received.
-            self.partial = None;
-            return None;
-        }
-        self.choices = self.choices.wrapping_add(1);
-        Some(sessions[self.choices % sessions.len()])
-    }
 }
 
 fn is_valid(part: &ViewPart) -> bool {
--- a/crates/masticcross-jobs/src/view/mod.rs
+++ b/crates/masticcross-jobs/src/view/mod.rs
@@ -5,10 +5,12 @@
 //! request and in parts: heartbeats wait behind one part at most, and a transfer that breaks continues
 //! where it was, also on another session.
 //!
+//! - [`announcements`]: which views other processes have.
 //! - [`encoded`]: a view in the form in which it is sent.
 //! - [`fetch`]: when and where a process requests the parts of a newer view.
 //! - [`relay`]: requests that an agent passes on from one entry to another.
 
+pub mod announcements;
 pub mod encoded;
 pub mod fetch;
 pub mod relay;
--- a/crates/masticcross-jobs/tests/agent.rs
+++ b/crates/masticcross-jobs/tests/agent.rs
@@ -1,5 +1,7 @@
 //! Tests of an agent with faulty workers and entries, on a paused clock.
 
+mod support;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -10,44 +12,14 @@
 use masticcross_jobs::agent::AgentIdentity;
 use masticcross_jobs::report_store::WorkerReportStore;
 use masticcross_jobs::supervisor::WorkerReport;
-use masticcross_jobs::worker_client::{
-    CallError, PollCall, Result, RunListing, StartAnswer, StartCall, StopCall, WorkerClient,
-    WorkerIncarnation,
-};
+use masticcross_jobs::worker_client::WorkerIncarnation;
 use masticcross_wire::pool::{Resources, WorkerInfo};
 use masticcross_wire::{Dialer, Frame, Hello, Link, PROTOCOL_VERSION, Role, link};
 use parking_lot::Mutex;
 use smallvec::smallvec;
+use support::{EmptyReportStore, ResettingWorker};
 use tokio::time::sleep;
 
-/// Worker that resets every connection.
-#[derive(Default)]
-struct ResettingWorker {
-    polls: AtomicUsize,
-}
-
-fn reset<T>() -> Result<T> {
-    Err(CallError::NoAnswer("connection reset".to_owned()))
-}
-
-impl WorkerClient for ResettingWorker {
-    fn start(&self, _: StartCall) -> BoxFuture<'static, Result<StartAnswer>> {
-        Box::pin(ready(reset()))
-    }
-
-    fn stop(&self, _: StopCall) -> BoxFuture<'static, Result<()>> {
-        Box::pin(ready(reset()))
-    }
-
-    fn poll(&self, _: PollCall) -> BoxFuture<'static, Result<RunListing>> {
-        self.polls.fetch_add(1, Ordering::Relaxed);
-        Box::pin(async {
-            sleep(Duration::from_millis(1)).await;
-            reset()
-        })
-    }
-}
-
 /// Dialer of an entry that sends its first frame after a delay.
 struct SlowEntryDialer {
     after: Duration,
@@ -87,18 +59,6 @@
     }
 }
 
-struct EmptyReportStore;
-
-impl WorkerReportStore for EmptyReportStore {
-    fn load(&self) -> BoxFuture<'_, Option<WorkerReport>> {
-        Box::pin(ready(None))
-    }
-
-    fn save(&self, _: WorkerReport) -> BoxFuture<'_, bool> {
-        Box::pin(ready(true))
-    }
-}
-
 fn report() -> WorkerReport {
     WorkerReport {
         incarnation: WorkerIncarnation {
--- a/crates/masticcross-jobs/tests/thin_links.rs
+++ b/crates/masticcross-jobs/tests/thin_links.rs
@@ -1,22 +1,20 @@
 //! Tests of the exchange of large operator views over links of limited bandwidth, on a paused clock.
 
+mod support;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use futures_util::future::{BoxFuture, ready};
+use futures_util::future::BoxFuture;
 use masticcross_jobs::agent::AgentIdentity;
 use masticcross_jobs::entry::EntryIdentity;
-use masticcross_jobs::report_store::WorkerReportStore;
-use masticcross_jobs::supervisor::WorkerReport;
-use masticcross_jobs::worker_client::{
-    CallError, PollCall, Result, RunListing, StartAnswer, StartCall, StopCall, WorkerClient,
-};
 use masticcross_jobs::{Agent, Entry};
 use masticcross_wire::pool::{EntryAddr, OperatorView, Queue};
 use masticcross_wire::{Dialer, Frame, Link, LinkError, codec, link};
 use parking_lot::Mutex;
+use support::{EmptyReportStore, ResettingWorker};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -149,39 +147,6 @@
     }
 }
 
-/// Worker that cannot be reached.
-struct AbsentWorker;
-
-fn refused<T>() -> Result<T> {
-    Err(CallError::Refused("no worker".to_owned()))
-}
-
-impl WorkerClient for AbsentWorker {
-    fn start(&self, _: StartCall) -> BoxFuture<'static, Result<StartAnswer>> {
-        Box::pin(ready(refused()))
-    }
-
-    fn stop(&self, _: StopCall) -> BoxFuture<'static, Result<()>> {
-        Box::pin(ready(refused()))
-    }
-
-    fn poll(&self, _: PollCall) -> BoxFuture<'static, Result<RunListing>> {
-        Box::pin(ready(refused()))
-    }
-}
-
-struct EmptyReportStore;
-
-impl WorkerReportStore for EmptyReportStore {
-    fn load(&self) -> BoxFuture<'_, Option<WorkerReport>> {
-        Box::pin(ready(None))
-    }
-
-    fn save(&self, _: WorkerReport) -> BoxFuture<'_, bool> {
-        Box::pin(ready(true))
-    }
-}
-
 /// Starts agents that have sessions with all hosts, and waits until these are open.
 async fn start_agents(count: usize, hosts: &[Arc<Host>]) {
     for number in 0..count {
@@ -194,7 +159,7 @@
             identity,
             Duration::from_secs(1),
             1,
-            Arc::new(AbsentWorker),
+            Arc::<ResettingWorker>::default(),
             Arc::new(EmptyReportStore),
             Arc::new(HostDialer(hosts.to_vec())),
         );
