Record crashes of workers at their agents and announce them to entries

Cause: an entry could not distinguish a run that ended with a crashed worker from one whose lease ran out at a silent worker or that was lost with its agent, and nothing named the kind of the lost task.

Change: an agent that sees the process of its worker end without notice (connection refused, another incarnation in a report, a listing or an answer) records the runs that were there, with queue and time since their start, and sends the record to all entries before the ends of the runs; a session that opens gets the recent records. Runs that were lost in silence are added once a later incarnation shows that the silence was a crash. Runs name their queue. Entries log the announcement and which of their tasks were in several crashes. Decisions are unchanged.

--- a/crates/masticcross-jobs/src/agent/sessions.rs
+++ b/crates/masticcross-jobs/src/agent/sessions.rs
@@ -173,6 +173,9 @@
             PoolFrame::Stop(ids) => {
                 self.with_supervisor(|supervisor, now| supervisor.stop(session, &ids, now));
             }
+            PoolFrame::Crashes(crashes) => self.with_supervisor(|supervisor, now| {
+                supervisor.crashes_announced(session, crashes, now);
+            }),
             PoolFrame::Probe(_)
             | PoolFrame::Worker(_)
             | PoolFrame::Free(_)
--- a/crates/masticcross-jobs/src/entry.rs
+++ b/crates/masticcross-jobs/src/entry.rs
@@ -350,6 +350,9 @@
                 self.metrics.runs_ended(&ends);
                 state.scheduler.ended(agent, session, &ends, now);
             }
+            PoolFrame::Crashes(crashes) => {
+                state.scheduler.crashes_announced(session, &crashes, now);
+            }
             PoolFrame::View(view) => {
                 let position = view.summary.position;
                 state.scheduler.view_announced(session, position, now);
--- a/crates/masticcross-jobs/src/lib.rs
+++ b/crates/masticcross-jobs/src/lib.rs
@@ -15,6 +15,7 @@
 //! ```
 
 pub mod agent;
+pub mod crashes;
 pub mod entry;
 pub mod entry_selection;
 pub mod failure_attribution;
--- a/crates/masticcross-jobs/src/metrics.rs
+++ b/crates/masticcross-jobs/src/metrics.rs
@@ -245,6 +245,7 @@
     free_cpu: IntGauge,
     open: IntGauge,
     view_position: IntGauge,
+    worker_crashes: IntGauge,
 }
 
 impl AgentMetrics {
@@ -269,6 +270,7 @@
                 "view_position",
                 "Position of the operator view in force",
             )?,
+            worker_crashes: gauge(&registry, "worker_crashes", "Crashes of the worker")?,
             registry,
         })
     }
@@ -295,6 +297,7 @@
         self.free_cpu.set(saturating(gauges.free.cpu));
         self.open.set(i64::from(gauges.open));
         self.view_position.set(saturating(gauges.view_position));
+        self.worker_crashes.set(saturating(gauges.worker_crashes));
         text(&self.registry)
     }
 }
--- a/crates/masticcross-jobs/src/scheduler/mod.rs
+++ b/crates/masticcross-jobs/src/scheduler/mod.rs
@@ -6,6 +6,7 @@
 //! - `placement`: choice of task and worker.
 //! - `ends`: handling of the ends of runs.
 //! - `closing`: ends of jobs.
+//! - `crashes`: crashes of workers.
 //! - `operator_view`: the operators' settings, and their exchange with agents.
 //!
 //! This module does no I/O and never blocks. Methods take the current time and queue [`Effect`]s,
@@ -13,6 +14,7 @@
 
 pub mod admission;
 mod closing;
+mod crashes;
 mod ends;
 mod operator_view;
 mod placement;
@@ -33,6 +35,7 @@
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
+use crate::crashes::log::CrashLog;
 use crate::failure_attribution::FailureAttribution;
 use crate::job::{JobOutcome, JobRequest};
 use crate::run_times::RunTimes;
@@ -93,6 +96,7 @@
     /// Ratios of actual to expected run times. A ratio of 1 is stored as one second.
     ratios: RunTimes,
     failure_attribution: FailureAttribution<JobNumber, Name>,
+    crash_log: CrashLog,
     recent_share: RecentShare,
     arrivals: ArrivalRates,
     saturation: Saturation,
@@ -120,6 +124,7 @@
             next_job: 1,
             ratios: RunTimes::default(),
             failure_attribution: FailureAttribution::default(),
+            crash_log: CrashLog::default(),
             recent_share: RecentShare::default(),
             arrivals: ArrivalRates::default(),
             saturation: Saturation::default(),
--- a/crates/masticcross-jobs/src/scheduler/placement.rs
+++ b/crates/masticcross-jobs/src/scheduler/placement.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use masticcross_basics::Name;
+use masticcross_wire::crash::Isolation;
 use masticcross_wire::pool::{PoolFrame, Resources, RunRequest, WorkerInfo};
 use tokio::time::Instant;
 
@@ -163,7 +164,9 @@
         let run_request = RunRequest {
             id: job.run_id(pos, run),
             resources: step.resources,
+            queue: job.queue.name.clone(),
             spec: job.request.spec.clone(),
+            isolation: Isolation::Shared,
             expected_ms: step.expected_ms,
             late,
         };
--- a/crates/masticcross-jobs/src/supervisor/calls.rs
+++ b/crates/masticcross-jobs/src/supervisor/calls.rs
@@ -61,6 +61,7 @@
             }
             Err(error @ (CallError::Refused(_) | CallError::OtherIncarnation)) => {
                 log::warn!(error:%; "worker is gone");
+                self.record_crash(now);
                 self.mark_all_runs_lost(now);
                 self.worker = None;
             }
@@ -217,6 +218,7 @@
             && self.advertised(now).is_none()
             && now >= self.lease.expires_at(now)
         {
+            self.record_silent_loss(now);
             self.mark_all_runs_lost(now);
         }
     }
@@ -234,11 +236,14 @@
             return;
         }
         if listing.started_at_ms > incarnation.started_at_ms {
+            self.record_crash(now);
             self.start_incarnation(WorkerIncarnation {
                 id: incarnation.id,
                 started_at_ms: listing.started_at_ms,
             });
         }
+        // The worker was only unresponsive.
+        self.silent_loss = None;
         self.lease.record_clock(listing.clock_ms, now);
         if let Some(worker) = &mut self.worker {
             worker.last_answer_at = Some(now);
--- a/crates/masticcross-jobs/src/supervisor/mod.rs
+++ b/crates/masticcross-jobs/src/supervisor/mod.rs
@@ -5,6 +5,7 @@
 //! - [`runs`]: runs and the resources reserved for them.
 //! - [`clients`]: entries, and how long the agent may act for them.
 //! - `calls`: calls to the worker and its answers.
+//! - `crashes`: crashes of the worker.
 //! - `notifications`: frames sent to entries.
 //! - `operator_view`: the operators' settings, and their exchange with entries.
 //!
@@ -13,6 +14,7 @@
 
 mod calls;
 pub mod clients;
+mod crashes;
 pub mod lease;
 mod notifications;
 mod operator_view;
@@ -24,6 +26,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use masticcross_basics::Name;
 use masticcross_wire::NotStartedReason;
 use masticcross_wire::pool::{
     PoolFrame, Resources, RunEnd, RunId, RunRequest, RunResult, ViewSummary, WorkerInfo,
@@ -31,6 +34,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
+use crate::crashes::log::CrashLog;
 use crate::view::encoded::EncodedView;
 use crate::view::fetch::ViewFetch;
 use crate::view::relay::ViewRelay;
@@ -38,6 +42,7 @@
 
 pub use calls::{POLL_WAIT, START_TIMEOUT};
 use clients::{Client, ClientId, Clients};
+use crashes::SilentLoss;
 use lease::Lease;
 use runs::{Phase, Run, Runs};
 
@@ -96,6 +101,8 @@
     pub open: bool,
     /// Position of the operator view in force.
     pub view_position: u64,
+    /// Crashes of the worker since the agent started.
+    pub worker_crashes: u64,
 }
 
 /// State of the worker in its current incarnation.
@@ -115,9 +122,15 @@
 
 /// State machine by which an agent controls its worker.
 pub struct Supervisor {
+    name: Name,
     worker: Option<Worker>,
     lease: Lease,
     runs: Runs,
+    /// Crashes of the worker, and those that entries announced.
+    crash_log: CrashLog,
+    /// Crashes of the worker since the agent started.
+    crash_count: u64,
+    silent_loss: Option<SilentLoss>,
     clients: Clients,
     view: ViewSummary,
     /// Copy of the operator view for entries that start while the records cannot be read.
@@ -143,9 +156,13 @@
     #[must_use]
     pub fn new(name: &str, lease: Duration, unix_ms: u64, now: Instant) -> Self {
         Self {
+            name: name.into(),
             worker: None,
             lease: Lease::new(lease, unix_ms),
             runs: Runs::default(),
+            crash_log: CrashLog::default(),
+            crash_count: 0,
+            silent_loss: None,
             clients: Clients::default(),
             view: ViewSummary::default(),
             view_copy: None,
@@ -175,6 +192,7 @@
             free: self.free(now),
             open: self.advertised(now).is_some_and(|info| !info.leaving),
             view_position: self.view.position,
+            worker_crashes: self.crash_count,
         }
     }
 
@@ -213,6 +231,7 @@
             .worker
             .as_ref()
             .is_some_and(|w| w.incarnation.id == report.incarnation.id);
+        self.record_crash(now);
         if !same_id {
             self.mark_all_runs_lost(now);
         }
--- a/crates/masticcross-jobs/src/supervisor/notifications.rs
+++ b/crates/masticcross-jobs/src/supervisor/notifications.rs
@@ -37,6 +37,11 @@
             ended,
             complete: self.runs_complete,
         };
+        let crashes = self.crash_log.recent(now);
+        if !crashes.is_empty() {
+            self.effects
+                .push(Effect::Send(session, PoolFrame::Crashes(crashes)));
+        }
         let frames = [
             PoolFrame::Entries(self.clients.addrs()),
             PoolFrame::View(self.view_announcement()),
@@ -140,7 +145,7 @@
         }
     }
 
-    fn send_all(&mut self, frame: &PoolFrame) {
+    pub(super) fn send_all(&mut self, frame: &PoolFrame) {
         for session in self.clients.sessions() {
             self.effects.push(Effect::Send(session, frame.clone()));
         }
@@ -177,10 +182,21 @@
     }
 
     pub(super) fn mark_all_runs_lost(&mut self, now: Instant) {
-        let mut ids: Vec<RunId> = self.runs.iter().map(|run| run.request.id.clone()).collect();
-        ids.sort();
-        for id in ids {
-            log::info!(run:% = id; "run lost: worker is gone");
+        let ran_ms = |run: &Run| now.saturating_duration_since(run.received_at).as_millis();
+        let mut lost: Vec<_> = self
+            .runs
+            .iter()
+            .map(|run| {
+                (
+                    run.request.id.clone(),
+                    run.request.queue.clone(),
+                    ran_ms(run),
+                )
+            })
+            .collect();
+        lost.sort();
+        for (id, queue, ran_ms) in lost {
+            log::info!(run:% = id, queue:%, ran_ms; "run lost: worker is gone");
             self.finish(&id, RunResult::Lost, now);
         }
     }
--- a/crates/masticcross-jobs/src/supervisor/tests.rs
+++ b/crates/masticcross-jobs/src/supervisor/tests.rs
@@ -5,6 +5,7 @@
 
 use masticcross_basics::Name;
 use masticcross_wire::NotStartedReason;
+use masticcross_wire::crash::Isolation;
 use masticcross_wire::pool::{
     EntryAddr, PoolFrame, Resources, RunEnd, RunId, RunRequest, RunResult, TaskId,
     ViewAnnouncement, ViewPart, ViewRange, ViewSummary, WorkerInfo,
@@ -239,7 +240,9 @@
     RunRequest {
         id: run(index, 1),
         resources: resources(cores),
+        queue: "queue".into(),
         spec: "x".into(),
+        isolation: Isolation::Shared,
         expected_ms: 100,
         late: false,
     }
--- a/crates/masticcross-jobs/tests/extreme_input.rs
+++ b/crates/masticcross-jobs/tests/extreme_input.rs
@@ -10,6 +10,7 @@
 };
 use masticcross_jobs::{JobRequest, Scheduler, StepRequest, Supervisor};
 use masticcross_wire::NotStartedReason;
+use masticcross_wire::crash::Isolation;
 use masticcross_wire::pool::{
     EntryAddr, FreeResources, OperatorView, Queue, Resources, Resume, RunEnd, RunId, RunRequest,
     RunResult, TaskId, ViewAnnouncement, ViewPart, ViewRange, WorkerInfo,
@@ -222,7 +223,9 @@
             let request = RunRequest {
                 id: n.run(),
                 resources: n.resources(),
+                queue: "queue".into(),
                 spec: "x".into(),
+                isolation: Isolation::Shared,
                 expected_ms: n.short(),
                 late: n.small() == 0,
             };
--- a/crates/masticcross-jobs/tests/schedule/simulation.rs
+++ b/crates/masticcross-jobs/tests/schedule/simulation.rs
@@ -449,6 +449,7 @@
             PoolFrame::ViewPart(part) => supervisor.view_part_received(number, &part, now),
             PoolFrame::Run(requests) => supervisor.run(number, requests, now),
             PoolFrame::Stop(ids) => supervisor.stop(number, &ids, now),
+            PoolFrame::Crashes(crashes) => supervisor.crashes_announced(number, crashes, now),
             other => panic!("{} sent to an agent", other.kind()),
         }
         self.execute_agent_effects(agent);
@@ -475,6 +476,9 @@
             PoolFrame::Free(free) => state.scheduler.update_free(&name, number, free, now),
             PoolFrame::Resume(resume) => state.scheduler.resumed(&name, number, &resume, now),
             PoolFrame::Ended(ends) => state.scheduler.ended(&name, number, &ends, now),
+            PoolFrame::Crashes(crashes) => {
+                state.scheduler.crashes_announced(number, &crashes, now);
+            }
             PoolFrame::View(view) => {
                 let position = view.summary.position;
                 state.scheduler.view_announced(number, position, now);
--- a/crates/masticcross-wire/src/codec/tests/pool.rs
+++ b/crates/masticcross-wire/src/codec/tests/pool.rs
@@ -4,6 +4,7 @@
 use quickcheck::{Arbitrary, Gen};
 
 use super::list;
+use crate::crash::{CrashedRun, Isolation, WorkerCrash};
 use crate::frame::NotStartedReason;
 use crate::pool::{
     EntryAddr, FreeResources, OperatorView, PoolFrame, Queue, Resources, Resume, RunEnd, RunId,
@@ -12,7 +13,7 @@
 
 /// Generates a message of any kind.
 pub fn frame(g: &mut Gen) -> PoolFrame {
-    match u8::arbitrary(g) % 12 {
+    match u8::arbitrary(g) % 13 {
         0 => PoolFrame::Probe(u64::arbitrary(g)),
         1 => PoolFrame::Echo(u64::arbitrary(g)),
         2 => PoolFrame::View(ViewAnnouncement {
@@ -49,6 +50,7 @@
             position: u64::arbitrary(g),
             offset: u64::arbitrary(g),
         }),
+        11 => PoolFrame::Crashes(list(g, crash)),
         _ => PoolFrame::Ended(list(g, end)),
     }
 }
@@ -92,12 +94,33 @@
     RunRequest {
         id: run(g),
         resources: resources(g),
+        queue: name(g),
         spec: name(g),
+        isolation: isolation(g),
         expected_ms: u32::arbitrary(g),
         late: bool::arbitrary(g),
     }
 }
 
+fn crash(g: &mut Gen) -> WorkerCrash {
+    WorkerCrash {
+        worker: name(g),
+        started_at_ms: u64::arbitrary(g),
+        age_ms: u64::arbitrary(g),
+        runs: list(g, |g| CrashedRun {
+            id: run(g),
+            queue: name(g),
+            ran_ms: u32::arbitrary(g),
+            isolation: isolation(g),
+        }),
+    }
+}
+
+fn isolation(g: &mut Gen) -> Isolation {
+    let all = [Isolation::Shared, Isolation::Spaced, Isolation::Alone];
+    *g.choose(&all).expect("there are values")
+}
+
 fn end(g: &mut Gen) -> RunEnd {
     let results = [
         RunResult::Done,
--- a/crates/masticcross-wire/src/pool.rs
+++ b/crates/masticcross-wire/src/pool.rs
@@ -15,6 +15,7 @@
 use smallvec::SmallVec;
 
 use crate::Incarnation;
+use crate::crash::{Isolation, WorkerCrash};
 use crate::frame::NotStartedReason;
 
 /// An amount of a worker's resources.
@@ -96,8 +97,12 @@
     /// Resources that the run requires.
     #[serde(rename = "room")]
     pub resources: Resources,
+    /// Queue of the job.
+    pub queue: Name,
     /// Specification of the task.
     pub spec: Name,
+    /// What else may run at the worker beside the run.
+    pub isolation: Isolation,
     /// Run time expected by the caller, in milliseconds.
     pub expected_ms: u32,
     /// True if the job will be late in any case. Such runs only use resources that no other run
@@ -324,6 +329,8 @@
     Stop(Vec<RunId>),
     /// From the agent: runs that ended.
     Ended(Vec<RunEnd>),
+    /// From either: crashes of workers.
+    Crashes(Vec<WorkerCrash>),
 }
 
 impl PoolFrame {
@@ -343,6 +350,7 @@
             Self::Run(_) => "run",
             Self::Stop(_) => "stop_runs",
             Self::Ended(_) => "runs_ended",
+            Self::Crashes(_) => "crashes",
         }
     }
 
@@ -362,6 +370,7 @@
             Self::Run(requests) => requests.len(),
             Self::Stop(ids) => ids.len(),
             Self::Ended(ends) => ends.len(),
+            Self::Crashes(crashes) => crashes.iter().map(|c| c.runs.len() + 1).sum(),
         }
     }
 
