Test crash records, isolated runs, confined queues and a capacity that changes

The evidence against tasks and queues, the confinement, the agent's crash records, runs that must be alone or apart, and placement with confined queues each have unit tests. A capacity that shrinks below what is reserved grants nothing until runs end, a run that is being stopped counts, a late report of a larger capacity is ignored, a grown one is announced at once. No fault was found in the handling of capacities: the tests passed as written.

--- a/crates/masticcross-jobs/src/crashes/mod.rs
+++ b/crates/masticcross-jobs/src/crashes/mod.rs
@@ -13,6 +13,9 @@
 pub mod log;
 pub mod suspects;
 
+#[cfg(test)]
+mod tests;
+
 use std::time::Duration;
 
 /// Time between the starts of two runs with [`Isolation::Spaced`] at a worker.
--- a/crates/masticcross-jobs/src/scheduler/tests.rs
+++ b/crates/masticcross-jobs/src/scheduler/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the scheduler.
 
+mod crashes;
+
 use std::collections::BTreeSet;
 use std::time::Duration;
 
--- a/crates/masticcross-jobs/src/supervisor/tests.rs
+++ b/crates/masticcross-jobs/src/supervisor/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the supervisor.
 
+mod crashes;
+
 use std::collections::BTreeSet;
 use std::time::Duration;
 
