Convict a task only if it crashes alone after the same time, and spare the last confined worker

And a confined queue had no worker for seconds after each crash, because the suspects of the crash ran alone at the other worker that was left to it.

Change: a crash in which a task was alone counts as proof only if the task had run for about as long in another crash; otherwise it runs alone once more, four times at most in all. A suspect of a confined queue runs alone only if more than half of the queue's workers are up, and apart instead of alone if it had run for another time than the proved task.

--- a/crates/masticcross-jobs/src/crashes/confinement.rs
+++ b/crates/masticcross-jobs/src/crashes/confinement.rs
@@ -51,11 +51,12 @@
 
 #[derive(Debug, Clone, Copy)]
 struct Confined {
-    is_proven: bool,
     limit: Limit,
     /// When a worker with runs of the queue crashed last.
     crashed_at: Instant,
     good_runs: Option<GoodRuns>,
+    /// Time after which a task of the queue crashed a worker that ran nothing else.
+    crash_delay: Option<Duration>,
 }
 
 /// The confined queues.
@@ -83,14 +84,24 @@
         self.queues.get(queue).map(|confined| confined.limit)
     }
 
+    /// Returns the time after which a task of the queue crashes its worker, if it is known.
+    #[must_use]
+    pub fn crash_delay(&self, queue: &str) -> Option<Duration> {
+        self.queues.get(queue)?.crash_delay
+    }
+
     /// Applies evidence against a queue from a crash at the given time.
     pub fn accuse(&mut self, queue: &Name, evidence: Evidence, at: Instant, now: Instant) {
         let known = self.queues.get(queue);
+        let crash_delay = match evidence {
+            Evidence::Proof(delay) => Some(delay),
+            Evidence::Strong => known.and_then(|known| known.crash_delay),
+        };
         let confined = Confined {
-            is_proven: evidence == Evidence::Proof || known.is_some_and(|known| known.is_proven),
             limit: Limit::Exclusive,
             crashed_at: known.map_or(at, |known| known.crashed_at.max(at)),
             good_runs: None,
+            crash_delay,
         };
         if self.queues.insert(queue.clone(), confined).is_none() {
             log::warn!(queue:%, evidence:?; "queue confined: its tasks crash workers");
@@ -102,7 +113,7 @@
     /// there by chance.
     pub fn crashed(&mut self, queue: &str, at: Instant) {
         let confined = self.queues.get_mut(queue);
-        if let Some(confined) = confined.filter(|confined| confined.is_proven) {
+        if let Some(confined) = confined.filter(|confined| confined.is_proven()) {
             confined.limit = Limit::Exclusive;
             confined.crashed_at = confined.crashed_at.max(at);
             confined.good_runs = None;
@@ -133,6 +144,10 @@
 }
 
 impl Confined {
+    fn is_proven(&self) -> bool {
+        self.crash_delay.is_some()
+    }
+
     /// Returns false if the queue is no longer confined.
     fn relax(&mut self, now: Instant) -> bool {
         let is_good = |runs: GoodRuns| {
@@ -143,7 +158,7 @@
         if !is_idle && !self.good_runs.is_some_and(is_good) {
             return true;
         }
-        if !self.is_proven || self.limit == Limit::Relaxed {
+        if !self.is_proven() || self.limit == Limit::Relaxed {
             return false;
         }
         self.limit = Limit::Relaxed;
--- a/crates/masticcross-jobs/src/crashes/suspects.rs
+++ b/crates/masticcross-jobs/src/crashes/suspects.rs
@@ -1,9 +1,10 @@
 //! What the known crashes of workers say about each task.
 //!
-//! The task that crashes workers is in each of its crashes, its neighbors are there by chance. After a
-//! first crash its runs are started again at different workers, after a second one alone. Only a crash
-//! in which a task was alone proves that the task caused it. Crashes of several workers at once, as
-//! when power is lost, are no evidence.
+//! The task that crashes workers is in each of its crashes, always after about the same time; its
+//! neighbors are there by chance. After a first crash its runs are started again at different workers,
+//! after a second one alone. Only a crash in which a task was alone, and ran as long as in another one,
+//! proves that the task caused it. Crashes of several workers at once, as when power is lost, are no
+//! evidence.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -23,12 +24,10 @@
 /// Number of workers that crash at once from which the cause is not a task.
 const MIN_SIMULTANEOUS: usize = 3;
 
-/// Difference up to which the run times in two crashes count as equal. Agents detect the end of a
-/// worker with a delay.
+/// Difference up to which the run times in two crashes count as equal, and as a part of the longer one.
+/// Agents detect the end of a worker with a delay.
 const RUN_TIME_TOLERANCE: Duration = Duration::from_millis(20);
-
-/// Crashes that are evidence against a task, one of them alone, after which it is not started again.
-const CONVICTING_CRASHES: usize = 2;
+const RUN_TIME_TOLERANCE_PART: f64 = 0.1;
 
 /// Crashes of any kind after which a task is not started again.
 const MAX_CRASHES: usize = 4;
@@ -54,8 +53,9 @@
     /// One of its tasks was in two crashes after the same short time, in the second of them without
     /// another suspect that had just started.
     Strong,
-    /// One of its tasks was alone in a crash, after an earlier one.
-    Proof,
+    /// One of its tasks was alone in a crash, after an earlier one. It had run for the given time in
+    /// both.
+    Proof(Duration),
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -65,13 +65,6 @@
     ran: Duration,
 }
 
-impl CrashUnder {
-    /// Returns true if the task had run for about the same time in another crash.
-    fn ran_as_long_as(&self, other: &Self) -> bool {
-        self.ran.abs_diff(other.ran) <= RUN_TIME_TOLERANCE
-    }
-}
-
 #[derive(Debug, Clone, Copy)]
 struct CrashTime {
     number: CrashNumber,
@@ -122,10 +115,10 @@
     #[must_use]
     pub fn verdict(&self, task: &TaskId) -> Verdict {
         let evidence = self.evidence(task).count();
-        let was_alone = self
-            .evidence(task)
-            .any(|crash| crash.isolation == Isolation::Alone);
-        if evidence >= CONVICTING_CRASHES && was_alone {
+        let crashed_alone = |crash: &CrashUnder| {
+            crash.isolation == Isolation::Alone && self.is_repeated(task, crash)
+        };
+        if self.evidence(task).any(crashed_alone) {
             Verdict::Guilty
         } else if self.crashes_under(task) >= MAX_CRASHES {
             Verdict::Exhausted
@@ -141,19 +134,30 @@
     /// Returns what a run's part in its latest crash says about its queue, if anything.
     #[must_use]
     pub fn evidence_against_queue(&self, run: &CrashedRun) -> Option<Evidence> {
-        if self.evidence(&run.id.task).count() < CONVICTING_CRASHES {
+        let latest = self.evidence(&run.id.task).last()?;
+        if !self.is_repeated(&run.id.task, latest) {
             return None;
         }
-        let latest = self.evidence(&run.id.task).last()?;
-        let mut earlier = self.evidence(&run.id.task);
-        let as_before = earlier.any(|e| e.number != latest.number && e.ran_as_long_as(latest));
         match latest.isolation {
-            Isolation::Alone => Some(Evidence::Proof),
-            Isolation::Spaced if latest.ran < SPACING && as_before => Some(Evidence::Strong),
+            Isolation::Alone => Some(Evidence::Proof(latest.ran)),
+            Isolation::Spaced if latest.ran < SPACING => Some(Evidence::Strong),
             Isolation::Spaced | Isolation::Shared => None,
         }
     }
 
+    /// Returns true if another worker has crashed under a task after about the same time.
+    fn is_repeated(&self, task: &TaskId, crash: &CrashUnder) -> bool {
+        let mut evidence = self.evidence(task);
+        evidence.any(|other| other.number != crash.number && is_close(other.ran, crash.ran))
+    }
+
+    /// Returns true if a task had run for about the given time in its latest crash.
+    #[must_use]
+    pub fn ran_for(&self, task: &TaskId, time: Duration) -> bool {
+        let latest = self.evidence(task).last();
+        latest.is_some_and(|crash| is_close(crash.ran, time))
+    }
+
     fn evidence(&self, task: &TaskId) -> impl Iterator<Item = &CrashUnder> {
         let crashes = self.tasks.get(task).into_iter().flatten();
         crashes.filter(|crash| !self.simultaneous.contains(&crash.number))
@@ -199,3 +203,9 @@
         });
     }
 }
+
+/// Returns true if two run times are equal but for delays in the detection of crashes.
+fn is_close(a: Duration, b: Duration) -> bool {
+    let tolerance = a.max(b).mul_f64(RUN_TIME_TOLERANCE_PART);
+    a.abs_diff(b) <= tolerance.max(RUN_TIME_TOLERANCE)
+}
--- a/crates/masticcross-jobs/src/scheduler/crashes.rs
+++ b/crates/masticcross-jobs/src/scheduler/crashes.rs
@@ -6,10 +6,10 @@
 use masticcross_basics::{Code, Name};
 use masticcross_wire::Refusal;
 use masticcross_wire::crash::{CrashedRun, Isolation, WorkerCrash};
-use masticcross_wire::pool::{PoolFrame, TaskId};
+use masticcross_wire::pool::{PoolFrame, Queue, TaskId};
 use tokio::time::Instant;
 
-use crate::crashes::confinement::{Place, sort_key};
+use crate::crashes::confinement::{Limit, Place, sort_key};
 use crate::crashes::log::NewRuns;
 use crate::crashes::suspects::{Evidence, Verdict};
 use crate::job::JobOutcome;
@@ -24,6 +24,20 @@
 /// Retry-after of a job whose queue is confined while no worker of its part is up.
 const CONFINED_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Numbers of the workers that a confined queue may use.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct ConfinedWorkers {
+    all: usize,
+    up: usize,
+}
+
+impl ConfinedWorkers {
+    /// Returns true if a run that may crash its worker leaves enough of them to the queue's other jobs.
+    pub(super) fn allow_risk(self) -> bool {
+        self.up * 2 > self.all
+    }
+}
+
 impl Scheduler {
     /// Applies crashes that an agent announced on a session.
     pub fn crashes_announced(&mut self, session: SessionId, crashes: &[WorkerCrash], now: Instant) {
@@ -56,7 +70,7 @@
                 continue;
             };
             let is_known = self.confinement.limit(&run.queue).is_some();
-            if is_known || !explained || evidence == Evidence::Proof {
+            if is_known || !explained || matches!(evidence, Evidence::Proof(_)) {
                 self.confinement.accuse(&run.queue, evidence, new.at, now);
             }
         }
@@ -132,22 +146,28 @@
             .collect();
         let suspects = &self.suspects;
         job.ran |= tasks.iter().any(|task| suspects.crashes_under(task) > 0);
-        let verdicts: Vec<Verdict> = tasks.iter().map(|task| suspects.verdict(task)).collect();
-        for verdict in verdicts {
+        let mut verdicts = tasks.iter().map(|task| suspects.verdict(task));
+        let condemned = verdicts.find(|v| matches!(v, Verdict::Guilty | Verdict::Exhausted));
+        if let Some(verdict) = condemned {
             self.end_if_condemned(number, verdict, now);
         }
     }
 
-    /// Returns what else may run beside a task.
+    /// Returns what else may run beside a task. In a confined queue a suspect runs alone, unless it had
+    /// run for another time than the queue's tasks take to crash a worker.
     pub(super) fn isolation(&self, job: &Job, pos: TaskPos) -> Isolation {
         if self.suspects.is_empty() {
             return Isolation::Shared;
         }
-        match self.suspects.verdict(&job.run_id(pos, 0).task) {
+        let task = job.run_id(pos, 0).task;
+        let queue = &*job.queue.name;
+        let is_unlikely = match self.confinement.crash_delay(queue) {
+            Some(delay) => !self.suspects.ran_for(&task, delay),
+            None => self.confinement.limit(queue).is_none(),
+        };
+        match self.suspects.verdict(&task) {
             Verdict::Clear => Isolation::Shared,
-            Verdict::Suspect if self.confinement.limit(&job.queue.name).is_none() => {
-                Isolation::Spaced
-            }
+            Verdict::Suspect if is_unlikely => Isolation::Spaced,
             Verdict::Suspect | Verdict::StrongSuspect | Verdict::Guilty | Verdict::Exhausted => {
                 Isolation::Alone
             }
@@ -164,19 +184,31 @@
         !self.suspects.is_empty() && job.tasks().any(is_strong)
     }
 
-    /// Returns true if the job's queue is confined and none of the workers that it may use is up.
-    pub(super) fn lacks_confined_worker(&self, job: &Job, now: Instant) -> bool {
-        let Some(limit) = self.confinement.limit(&job.queue.name) else {
-            return false;
-        };
+    /// Returns the numbers of workers that a confined queue may use, and of those that are up.
+    pub(super) fn confined_workers(
+        &self,
+        queue: &Queue,
+        limit: Limit,
+        now: Instant,
+    ) -> ConfinedWorkers {
         let places = self.places(now);
-        let is_up = |worker: &Worker| {
-            let info = worker.info.as_ref();
-            let serves = info.is_some_and(|i| !i.leaving && i.service == job.queue.service);
+        let is_within = |worker: &&Worker| {
             let place = places.get(&worker.name);
-            serves && place.is_some_and(|place| place.is_within(limit))
+            worker.service() == Some(&queue.service)
+                && place.is_some_and(|place| place.is_within(limit))
         };
-        !self.workers.values().any(is_up)
+        let is_up = |worker: &&Worker| worker.info.as_ref().is_some_and(|info| !info.leaving);
+        let within = self.workers.values().filter(is_within);
+        ConfinedWorkers {
+            all: within.clone().count(),
+            up: within.filter(is_up).count(),
+        }
+    }
+
+    /// Returns true if the job's queue is confined and none of the workers that it may use is up.
+    pub(super) fn lacks_confined_worker(&self, job: &Job, now: Instant) -> bool {
+        let limit = self.confinement.limit(&job.queue.name);
+        limit.is_some_and(|limit| self.confined_workers(&job.queue, limit, now).up == 0)
     }
 
     /// Returns the outcome of a job that cannot start because its queue is confined.
--- a/crates/masticcross-jobs/src/scheduler/placement.rs
+++ b/crates/masticcross-jobs/src/scheduler/placement.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use crate::crashes::confinement::{Limit, Place};
+use crate::crashes::suspects::Verdict;
 
 use super::table::{Job, JobNumber, TaskPos, TaskState, Urgency};
 use super::worker::load;
@@ -111,6 +112,10 @@
             let Some(conditions) = self.conditions(number, pos) else {
                 break;
             };
+            if self.is_too_risky(number, pos, conditions, now) {
+                placed = Placed::Held;
+                continue;
+            }
             let Some(chosen) = self.choose(number, pos, conditions, candidates) else {
                 if conditions.isolation == Isolation::Shared && conditions.limit.is_none() {
                     return Placed::NoRoom;
@@ -147,6 +152,23 @@
         })
     }
 
+    /// Returns true if a run may crash one of the last workers that are left to its confined queue. A
+    /// strong suspect runs all the same, as its judgment protects the other workers.
+    fn is_too_risky(
+        &self,
+        number: JobNumber,
+        pos: TaskPos,
+        conditions: Conditions,
+        now: Instant,
+    ) -> bool {
+        let (Some(job), Some(limit)) = (self.jobs.get(&number), conditions.limit) else {
+            return false;
+        };
+        conditions.isolation == Isolation::Alone
+            && self.suspects.verdict(&job.run_id(pos, 0).task) == Verdict::Suspect
+            && !self.confined_workers(&job.queue, limit, now).allow_risk()
+    }
+
     /// Returns true if a worker has room for a waiting task of a job.
     pub(super) fn has_room_for(&self, job: &Job, now: Instant) -> bool {
         let waiting = job.waiting();
--- a/crates/masticcross-jobs/src/scheduler/worker.rs
+++ b/crates/masticcross-jobs/src/scheduler/worker.rs
@@ -100,6 +100,12 @@
         self.info = info.map(Arc::new);
     }
 
+    /// Returns the service of the worker that the agent had last.
+    #[must_use]
+    pub fn service(&self) -> Option<&Name> {
+        self.service.as_ref()
+    }
+
     /// Returns the service of the worker, unless it has been away for longer than the given time or is
     /// leaving.
     #[must_use]
