Report a lost run only after a delayed start of its task has been stopped

Cause: a worker restarted under the same id, a start that was executed seconds late reached the new incarnation, and the agent, which was suspended meanwhile, reported its own run of the task as lost although the listing of the worker contained the delayed one.

Change: a run that the worker does not list is not reported as ended while the worker lists another run of its task, which is stopped as a leftover. The unit test failed before ("left: [Lost], right: []") and passes.

--- a/crates/masticcross-jobs/src/supervisor/calls.rs
+++ b/crates/masticcross-jobs/src/supervisor/calls.rs
@@ -343,7 +343,13 @@
                 task: run.request.id.task.clone(),
                 run: run.worker_run,
             };
-            if listing.running.iter().any(|entry| entry.run == id) {
+            // Another run of the task is a delayed start, which must be stopped before the task may run
+            // elsewhere.
+            if listing
+                .running
+                .iter()
+                .any(|entry| entry.run.task == id.task)
+            {
                 continue;
             }
             match run.phase {
--- a/crates/masticcross-jobs/src/supervisor/tests.rs
+++ b/crates/masticcross-jobs/src/supervisor/tests.rs
@@ -766,6 +766,22 @@
         f.answer(&poll, 2, vec![], vec![ended(1, 0, WorkerEnd::Done)]);
         assert_eq!((f.results(), f.free_cores()), (vec![RunResult::Done], 10));
     };
+    a_lost_run_is_reported_after_an_earlier_start_of_its_task_was_stopped => |mut f: Fixture| {
+        f.submit(RunRequest { id: run(0, 2), ..request(0, 4) });
+        let start = f.take_start().expect("the run fits");
+        f.started(&start, StartOutcome::Started);
+        f.report(5, 1, false);
+        let poll = f.next_poll();
+        // A delayed start of the task's first run has reached the new incarnation.
+        f.answer(&poll, 5, vec![running(0, 10)], vec![]);
+        assert_eq!(f.results(), vec![]);
+        assert_eq!(f.stops(), 1);
+        let poll = f.next_poll();
+        f.advance_in_contact(Duration::from_millis(20));
+        f.answer(&poll, 5, vec![], vec![ended(1, 0, WorkerEnd::Stopped)]);
+        assert_eq!(f.results(), vec![RunResult::Lost]);
+    };
+
     an_unanswered_start_to_an_earlier_incarnation_is_reported_lost => |mut f: Fixture| {
         f.submit(request(0, 2));
         f.take_start().expect("the run fits");
--- a/crates/masticcross-jobs/tests/schedules.rs
+++ b/crates/masticcross-jobs/tests/schedules.rs
@@ -51,6 +51,9 @@
     replaced_sessions_cost_no_job: 400..460,
         Faults { sessions: 0, calls: 0.0, restarts: 0, replacements: 60 },
         |counts: &Counts| counts.completed == counts.submitted && counts.refused == 0;
+    a_delayed_start_at_a_restarted_worker_does_not_run_beside_the_next_run: 25_681..25_682,
+        Faults { sessions: 10, calls: 0.05, restarts: 8, replacements: 10 },
+        |counts: &Counts| counts.lost_calls > 0 && counts.completed > 0;
     jobs_are_answered_despite_all_faults: 300..400,
         Faults { sessions: 10, calls: 0.05, restarts: 8, replacements: 10 },
         |counts: &Counts| counts.lost_calls > 0 && counts.completed > 0;
