Let a confined queue wait longer for its workers after each crash

Cause: the time for which runs had to end well was fixed. A single bad job cost its whole queue three seconds or more, and during an outbreak the same time was short enough for a queue to regain half of the workers between two crashes.

Change: 0.5 s after proof and the first crash, doubled with each further one up to 4 s; 1.5 s without proof. A crash counts once for a queue, not once for each of its runs.

--- a/crates/masticcross-jobs/src/crashes/confinement.rs
+++ b/crates/masticcross-jobs/src/crashes/confinement.rs
@@ -23,8 +23,13 @@
 /// Number of workers of a service from which some run only confined queues.
 const MIN_WORKERS_FOR_EXCLUSION: usize = 4;
 
-/// Time for which runs must end well until their queue gets more workers.
-const RELAX_TIME: Duration = Duration::from_millis(1_500);
+/// Time for which runs must end well until a queue without proof gets all workers.
+const RELAX_TIME_WITHOUT_PROOF: Duration = Duration::from_millis(1_500);
+
+/// Time for which runs must end well until a queue with proof gets more workers. It doubles with each
+/// crash, up to the maximum.
+const MIN_RELAX_TIME: Duration = Duration::from_millis(500);
+const MAX_RELAX_TIME: Duration = Duration::from_secs(4);
 
 /// Number of runs that must end well in that time.
 const RELAX_RUNS: u32 = 20;
@@ -57,6 +62,8 @@
     good_runs: Option<GoodRuns>,
     /// Time after which a task of the queue crashed a worker that ran nothing else.
     crash_delay: Option<Duration>,
+    /// Crashes of workers with runs of the queue since it was confined.
+    crashes: u32,
 }
 
 /// The confined queues.
@@ -102,6 +109,7 @@
             crashed_at: known.map_or(at, |known| known.crashed_at.max(at)),
             good_runs: None,
             crash_delay,
+            crashes: known.map_or(0, |known| known.crashes),
         };
         if self.queues.insert(queue.clone(), confined).is_none() {
             log::warn!(queue:%, evidence:?; "queue confined: its tasks crash workers");
@@ -117,6 +125,7 @@
             confined.limit = Limit::Exclusive;
             confined.crashed_at = confined.crashed_at.max(at);
             confined.good_runs = None;
+            confined.crashes = confined.crashes.saturating_add(1);
         }
     }
 
@@ -144,6 +153,14 @@
 }
 
 impl Confined {
+    fn relax_time(&self) -> Duration {
+        if !self.is_proven() {
+            return RELAX_TIME_WITHOUT_PROOF;
+        }
+        let doublings = self.crashes.saturating_sub(1).min(16);
+        (MIN_RELAX_TIME * (1 << doublings)).min(MAX_RELAX_TIME)
+    }
+
     fn is_proven(&self) -> bool {
         self.crash_delay.is_some()
     }
@@ -152,7 +169,7 @@
     fn relax(&mut self, now: Instant) -> bool {
         let is_good = |runs: GoodRuns| {
             let time = now.saturating_duration_since(runs.since);
-            time >= RELAX_TIME && runs.count >= RELAX_RUNS
+            time >= self.relax_time() && runs.count >= RELAX_RUNS
         };
         let is_idle = now.saturating_duration_since(self.crashed_at) >= IDLE_TIME;
         if !is_idle && !self.good_runs.is_some_and(is_good) {
--- a/crates/masticcross-jobs/src/crashes/tests.rs
+++ b/crates/masticcross-jobs/src/crashes/tests.rs
@@ -263,6 +263,20 @@
         assert_eq!(f.confinement.limit("queue"), Some(Limit::Exclusive));
     };
 
+    a_queue_waits_longer_after_each_crash => |mut f: Fixture| {
+        f.accuse(PROOF);
+        f.confinement.crashed("queue", f.now);
+        f.succeed(40, SECOND / 2);
+        assert_eq!(f.confinement.limit("queue"), Some(Limit::Relaxed));
+        for _ in 0..3 {
+            f.confinement.crashed("queue", f.now);
+        }
+        f.succeed(40, SECOND * 3);
+        assert_eq!(f.confinement.limit("queue"), Some(Limit::Exclusive));
+        f.succeed(40, SECOND);
+        assert_eq!(f.confinement.limit("queue"), Some(Limit::Relaxed));
+    };
+
     a_crash_does_not_prolong_a_confinement_without_proof => |mut f: Fixture| {
         f.accuse(Evidence::Strong);
         f.succeed(40, SECOND);
--- a/crates/masticcross-jobs/src/scheduler/crashes.rs
+++ b/crates/masticcross-jobs/src/scheduler/crashes.rs
@@ -1,6 +1,6 @@
 //! Crashes of workers that agents announce: their effects on jobs, queues and placement.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use masticcross_basics::{Code, Name};
@@ -74,8 +74,9 @@
                 self.confinement.accuse(&run.queue, evidence, new.at, now);
             }
         }
-        for run in &new.runs {
-            self.confinement.crashed(&run.queue, new.at);
+        let queues: BTreeSet<&Name> = new.runs.iter().map(|run| &run.queue).collect();
+        for queue in queues {
+            self.confinement.crashed(queue, new.at);
         }
     }
 
