--- a/crates/masticcross-jobs/src/crashes/confinement.rs
+++ b/crates/masticcross-jobs/src/crashes/confinement.rs
@@ -29,7 +29,7 @@
 /// Time for which runs must end well until a queue with proof gets more workers. It doubles with each
 /// crash, up to the maximum.
 const MIN_RELAX_TIME: Duration = Duration::from_millis(500);
-const MAX_RELAX_TIME: Duration = Duration::from_secs(4);
+const MAX_RELAX_TIME: Duration = Duration::from_millis(1_500);
 
 /// Number of runs that must end well in that time.
 const RELAX_RUNS: u32 = 20;
--- a/crates/masticcross-jobs/src/crashes/tests.rs
+++ b/crates/masticcross-jobs/src/crashes/tests.rs
@@ -271,9 +271,9 @@
         for _ in 0..3 {
             f.confinement.crashed("queue", f.now);
         }
-        f.succeed(40, SECOND * 3);
-        assert_eq!(f.confinement.limit("queue"), Some(Limit::Exclusive));
         f.succeed(40, SECOND);
+        assert_eq!(f.confinement.limit("queue"), Some(Limit::Exclusive));
+        f.succeed(40, SECOND / 2);
         assert_eq!(f.confinement.limit("queue"), Some(Limit::Relaxed));
     };
 
