Estimate the worker's clock as the least that it can show

Cause: the agent extrapolated the worker's clock at full speed and never corrected it downwards. A worker's clock may be 2% slow, so that after 14 s the estimate is 0.28 s ahead, and a lease that is requested until "now and one second" lasts that much longer if the request arrives late. An agent that is held up for a second then takes runs as gone that go on for a while: they exceed the worker's resources, or run beside their repetition.

Evidence: the new test failed before ("1304 at 297": a lease of 1.007 s after 0.3 s, growing by 2% of the time) and passes.

Change: the estimate runs at 98% between two answers. Polls are answered several times a second, so that the lease is shorter by some milliseconds at most.

--- a/crates/masticcross-jobs/src/supervisor/lease.rs
+++ b/crates/masticcross-jobs/src/supervisor/lease.rs
@@ -92,9 +92,11 @@
         }
     }
 
+    /// Returns the least that the worker's clock can show.
     fn clock_at(&self, now: Instant) -> Option<u64> {
         let (clock, at) = self.clock?;
-        Some(clock.saturating_add(millis(now.saturating_duration_since(at))))
+        let elapsed = now.saturating_duration_since(at).mul_f64(1.0 - CLOCK_DRIFT);
+        Some(clock.saturating_add(millis(elapsed)))
     }
 }
 
--- a/crates/masticcross-jobs/src/supervisor/tests.rs
+++ b/crates/masticcross-jobs/src/supervisor/tests.rs
@@ -572,6 +572,24 @@
         assert!(until <= clock + 1_000 && until > clock + 900, "{until} at {clock}");
     };
 
+    a_lease_at_a_worker_with_a_slow_clock_does_not_grow => |mut f: Fixture| {
+        f.start_run(0, 6);
+        for _ in 0..200 {
+            f.advance_in_contact(Duration::from_millis(100));
+            let call = f.next_poll();
+            let clock_ms = f.clock_ms() * 98 / 100;
+            let until = call.lease_until_ms.expect("runs need it");
+            assert!(until <= clock_ms + 1_005, "{until} at {clock_ms}");
+            let listing = RunListing {
+                started_at_ms: 1,
+                clock_ms,
+                running: vec![running(0, 10)],
+                ended: vec![],
+            };
+            f.step(|s, now| s.poll_answered(&call, Ok(listing), now));
+        }
+    };
+
     a_worker_restarted_with_the_same_id_loses_unlisted_runs => |mut f: Fixture| {
         f.start_run(0, 3);
         f.submit(request(1, 3));
