Let a waiting suspect hold up neither its confined queue nor the choice of workers

Cause, found in a last read: a suspect that has to wait marked its confined queue as full, so that no other job of the queue was placed for as long as it waited; and suspects were placed again before the entry knew that their worker is away, as the agent reports the ends of runs before the worker's state. The rule that spares the last workers then counted the crashed one.

Change: a queue counts as full only if a job without suspects finds no room; an announced crash marks the worker as away at once. The new test failed before for both reasons ("left: 1, right: 0" and "left: [], right: [Shared]").

--- a/crates/masticcross-jobs/src/scheduler/crashes.rs
+++ b/crates/masticcross-jobs/src/scheduler/crashes.rs
@@ -50,6 +50,11 @@
                 runs = new.runs.len(), age_ms = crash.age_ms;
                 "worker crash announced"
             );
+            // Its agent reports the worker as away only after the ends of the runs, which are placed again
+            // before that.
+            if let Some(worker) = self.worker_of(&crash.worker, session) {
+                worker.set_info(None, now);
+            }
             self.suspects.add(&new, now);
             self.accuse_queues(&new, now);
             self.pass_on_crash(session, crash, &new.runs);
--- a/crates/masticcross-jobs/src/scheduler/placement.rs
+++ b/crates/masticcross-jobs/src/scheduler/placement.rs
@@ -48,7 +48,9 @@
     All,
     /// No worker has room for one of the tasks.
     NoRoom,
-    /// A task waits for one of the workers that are left to it. This does not concern other jobs.
+    /// The workers that are left to the job's confined queue have no room for one of the tasks.
+    QueueFull,
+    /// A suspect waits until it may start. This does not concern other jobs.
     Held,
 }
 
@@ -74,12 +76,9 @@
                 .is_some_and(|queue| full_queues.contains(queue))
             {
                 match self.place_job(number, &mut candidates, &mut run_requests, now) {
-                    Placed::All => {}
+                    Placed::All | Placed::Held => {}
                     Placed::NoRoom => skipped += 1,
-                    Placed::Held => {
-                        let is_confined = |q: &Name| self.confinement.limit(q).is_some();
-                        full_queues.extend(queue.filter(is_confined));
-                    }
+                    Placed::QueueFull => full_queues.extend(queue),
                 }
             }
             // Ranks the job among those before the next one if its first task has just been sent.
@@ -117,11 +116,20 @@
                 continue;
             }
             let Some(chosen) = self.choose(number, pos, conditions, candidates) else {
-                if conditions.isolation == Isolation::Shared && conditions.limit.is_none() {
-                    return Placed::NoRoom;
+                match conditions {
+                    Conditions {
+                        isolation: Isolation::Shared,
+                        limit: None,
+                    } => return Placed::NoRoom,
+                    Conditions {
+                        isolation: Isolation::Shared,
+                        limit: Some(_),
+                    } => return Placed::QueueFull,
+                    Conditions { .. } => {
+                        placed = Placed::Held;
+                        continue;
+                    }
                 }
-                placed = Placed::Held;
-                continue;
             };
             let candidate = &mut candidates[chosen];
             let name = candidate.name.clone();
--- a/crates/masticcross-jobs/src/scheduler/tests/crashes.rs
+++ b/crates/masticcross-jobs/src/scheduler/tests/crashes.rs
@@ -229,6 +229,21 @@
         assert_eq!(f.outcomes().iter().filter(|o| refused(o)).count(), 0);
     };
 
+    a_suspect_that_waits_does_not_hold_up_its_confined_queue => |mut f: Fixture| {
+        f.confine_usual_queue();
+        let (third, run) = f.sent.pop().expect("placed again");
+        f.crash(third, &[&run]);
+        for session in 1..=10 {
+            f.connect(session, 1, worker("zone-a", 8));
+        }
+        let (fourth, run) = f.submit_task("suspect");
+        // With one of the queue's two workers down, its suspects have to wait.
+        f.crash(fourth, &[&run]);
+        assert_eq!(f.sent.len(), 0);
+        f.submit(f.job("other", smallvec![tasks(1, 1)]));
+        assert_eq!(f.isolations(), vec![Isolation::Shared]);
+    };
+
     jobs_of_a_confined_queue_are_refused_at_once_without_a_worker => |mut f: Fixture| {
         f.confine_usual_queue();
         let places = f.scheduler.places(f.now);
