Name verdicts on tasks by the terms of the field

Last read as a newcomer: guilty, accuse, judge and condemned were pictures; they are now cause, evidence, assess and unstartable, and the tests say of a job that it crashes workers.

--- a/crates/masticcross-jobs/src/crashes/confinement.rs
+++ b/crates/masticcross-jobs/src/crashes/confinement.rs
@@ -98,7 +98,7 @@
     }
 
     /// Applies evidence against a queue from a crash at the given time.
-    pub fn accuse(&mut self, queue: &Name, evidence: Evidence, at: Instant, now: Instant) {
+    pub fn add_evidence(&mut self, queue: &Name, evidence: Evidence, at: Instant, now: Instant) {
         let known = self.queues.get(queue);
         let crash_delay = match evidence {
             Evidence::Proof(delay) => Some(delay),
--- a/crates/masticcross-jobs/src/crashes/suspects.rs
+++ b/crates/masticcross-jobs/src/crashes/suspects.rs
@@ -40,9 +40,9 @@
     /// A worker has crashed under it and other tasks.
     Suspect,
     /// Several workers have crashed under it and other tasks.
-    StrongSuspect,
+    RepeatedSuspect,
     /// It crashes workers.
-    Guilty,
+    Cause,
     /// Its workers have crashed too often to start it again. The cause is not known.
     Exhausted,
 }
@@ -119,14 +119,14 @@
             crash.isolation == Isolation::Alone && self.is_repeated(task, crash)
         };
         if self.evidence(task).any(crashed_alone) {
-            Verdict::Guilty
+            Verdict::Cause
         } else if self.crashes_under(task) >= MAX_CRASHES {
             Verdict::Exhausted
         } else {
             match evidence {
                 0 => Verdict::Clear,
                 1 => Verdict::Suspect,
-                _ => Verdict::StrongSuspect,
+                _ => Verdict::RepeatedSuspect,
             }
         }
     }
--- a/crates/masticcross-jobs/src/crashes/tests.rs
+++ b/crates/masticcross-jobs/src/crashes/tests.rs
@@ -66,9 +66,10 @@
         self.confinement.relax(self.now);
     }
 
-    fn accuse(&mut self, evidence: Evidence) {
+    fn add_evidence(&mut self, evidence: Evidence) {
         let now = self.now;
-        self.confinement.accuse(&"queue".into(), evidence, now, now);
+        self.confinement
+            .add_evidence(&"queue".into(), evidence, now, now);
     }
 }
 
@@ -113,18 +114,18 @@
         assert_eq!(f.verdict(2), Verdict::Clear);
     };
 
-    a_task_that_was_alone_in_its_second_crash_is_guilty => |mut f: Fixture| {
+    a_task_that_was_alone_in_its_second_crash_is_the_cause => |mut f: Fixture| {
         f.crash(&[shared(0, 13), shared(1, 80)]);
         f.crash(&[run(0, 13, Isolation::Alone)]);
-        assert_eq!(f.verdict(0), Verdict::Guilty);
+        assert_eq!(f.verdict(0), Verdict::Cause);
         assert_eq!(f.verdict(1), Verdict::Suspect);
     };
 
-    a_task_that_was_never_alone_is_not_guilty => |mut f: Fixture| {
+    a_task_that_was_never_alone_is_not_the_cause => |mut f: Fixture| {
         for _ in 0..3 {
             f.crash(&[shared(0, 13), shared(1, 13)]);
         }
-        assert_eq!(f.verdict(0), Verdict::StrongSuspect);
+        assert_eq!(f.verdict(0), Verdict::RepeatedSuspect);
         f.crash(&[shared(0, 13), shared(1, 13)]);
         assert_eq!(f.verdict(0), Verdict::Exhausted);
     };
@@ -149,7 +150,7 @@
             f.announce(&crash(number, &[shared(0, 3), shared(10, 3)]));
             f.now += Duration::from_millis(4);
         }
-        assert_eq!(f.verdict(0), Verdict::StrongSuspect);
+        assert_eq!(f.verdict(0), Verdict::RepeatedSuspect);
     };
 
     a_crash_counts_once_however_often_it_is_announced => |mut f: Fixture| {
@@ -189,7 +190,7 @@
         assert_eq!(other.verdict(0), Verdict::Clear);
     };
 
-    a_spaced_run_that_crashes_as_soon_as_before_accuses_its_queue => |mut f: Fixture| {
+    a_spaced_run_that_crashes_as_soon_as_before_is_evidence_against_its_queue => |mut f: Fixture| {
         f.crash(&[shared(0, 13), shared(1, 13)]);
         let second = [run(0, 15, Isolation::Spaced), shared(2, 5)];
         f.crash(&second);
@@ -197,7 +198,7 @@
         assert_eq!(f.suspects.evidence_against_queue(&second[1]), None);
     };
 
-    a_spaced_run_that_had_run_longer_before_accuses_nobody => |mut f: Fixture| {
+    a_spaced_run_that_had_run_longer_before_is_no_evidence => |mut f: Fixture| {
         f.crash(&[shared(0, 130)]);
         let second = [run(0, 15, Isolation::Spaced)];
         f.crash(&second);
@@ -210,21 +211,21 @@
         f.crash(&second);
         let proof = Evidence::Proof(Duration::from_millis(700));
         assert_eq!(f.suspects.evidence_against_queue(&second[0]), Some(proof));
-        assert_eq!(f.verdict(0), Verdict::Guilty);
+        assert_eq!(f.verdict(0), Verdict::Cause);
     };
 
-    a_task_that_was_alone_but_ran_for_another_time_is_not_guilty => |mut f: Fixture| {
+    a_task_that_was_alone_but_ran_for_another_time_is_not_the_cause => |mut f: Fixture| {
         f.crash(&[shared(0, 13)]);
         let second = [run(0, 300, Isolation::Alone)];
         f.crash(&second);
         assert_eq!(f.suspects.evidence_against_queue(&second[0]), None);
-        assert_eq!(f.verdict(0), Verdict::StrongSuspect);
+        assert_eq!(f.verdict(0), Verdict::RepeatedSuspect);
         f.crash(&[run(0, 310, Isolation::Alone)]);
-        assert_eq!(f.verdict(0), Verdict::Guilty);
+        assert_eq!(f.verdict(0), Verdict::Cause);
     };
 
     a_queue_without_proof_regains_all_workers_at_once => |mut f: Fixture| {
-        f.accuse(Evidence::Strong);
+        f.add_evidence(Evidence::Strong);
         assert_eq!(f.confinement.limit("queue"), Some(Limit::Exclusive));
         f.succeed(40, SECOND);
         assert_eq!(f.confinement.limit("queue"), Some(Limit::Exclusive));
@@ -233,7 +234,7 @@
     };
 
     a_queue_with_proof_regains_workers_in_steps => |mut f: Fixture| {
-        f.accuse(PROOF);
+        f.add_evidence(PROOF);
         f.succeed(40, SECOND * 2);
         assert_eq!(f.confinement.limit("queue"), Some(Limit::Relaxed));
         f.succeed(40, SECOND * 2);
@@ -241,14 +242,14 @@
     };
 
     a_queue_does_not_regain_workers_while_none_of_its_runs_ends => |mut f: Fixture| {
-        f.accuse(PROOF);
+        f.add_evidence(PROOF);
         f.now += SECOND * 9;
         f.confinement.relax(f.now);
         assert_eq!(f.confinement.limit("queue"), Some(Limit::Exclusive));
     };
 
     a_queue_without_jobs_regains_workers_in_the_end => |mut f: Fixture| {
-        f.accuse(PROOF);
+        f.add_evidence(PROOF);
         for _ in 0..2 {
             f.now += SECOND * 10;
             f.confinement.relax(f.now);
@@ -257,14 +258,14 @@
     };
 
     a_crash_takes_the_regained_workers_away => |mut f: Fixture| {
-        f.accuse(PROOF);
+        f.add_evidence(PROOF);
         f.succeed(40, SECOND * 2);
         f.confinement.crashed("queue", f.now);
         assert_eq!(f.confinement.limit("queue"), Some(Limit::Exclusive));
     };
 
     a_queue_waits_longer_after_each_crash => |mut f: Fixture| {
-        f.accuse(PROOF);
+        f.add_evidence(PROOF);
         f.confinement.crashed("queue", f.now);
         f.succeed(40, SECOND / 2);
         assert_eq!(f.confinement.limit("queue"), Some(Limit::Relaxed));
@@ -278,7 +279,7 @@
     };
 
     a_crash_does_not_prolong_a_confinement_without_proof => |mut f: Fixture| {
-        f.accuse(Evidence::Strong);
+        f.add_evidence(Evidence::Strong);
         f.succeed(40, SECOND);
         f.confinement.crashed("queue", f.now);
         f.succeed(40, SECOND);
--- a/crates/masticcross-jobs/src/scheduler/closing.rs
+++ b/crates/masticcross-jobs/src/scheduler/closing.rs
@@ -57,7 +57,7 @@
                 (Code::NoBackend, detail)
             });
         }
-        if earliest_end(job, now)? <= job.useful_until() || self.awaits_judgment(job) {
+        if earliest_end(job, now)? <= job.useful_until() || self.awaits_isolated_run(job) {
             return None;
         }
         Some(if job.has_lost_runs() {
--- a/crates/masticcross-jobs/src/scheduler/crashes.rs
+++ b/crates/masticcross-jobs/src/scheduler/crashes.rs
@@ -56,10 +56,10 @@
                 worker.set_info(None, now);
             }
             self.suspects.add(&new, now);
-            self.accuse_queues(&new, now);
+            self.apply_evidence(&new, now);
             self.pass_on_crash(session, crash, &new.runs);
             for run in &new.runs {
-                self.judge(run, now);
+                self.assess(run, now);
             }
         }
         self.place(now);
@@ -67,7 +67,7 @@
 
     /// Applies the evidence of a crash against queues. A crash with runs of a queue that is confined is
     /// explained by these, unless there is proof.
-    fn accuse_queues(&mut self, new: &NewRuns, now: Instant) {
+    fn apply_evidence(&mut self, new: &NewRuns, now: Instant) {
         let is_confined = |queue: &Name| self.confinement.limit(queue).is_some();
         let explained = new.runs.iter().any(|run| is_confined(&run.queue));
         for run in &new.runs {
@@ -76,7 +76,8 @@
             };
             let is_known = self.confinement.limit(&run.queue).is_some();
             if is_known || !explained || matches!(evidence, Evidence::Proof(_)) {
-                self.confinement.accuse(&run.queue, evidence, new.at, now);
+                self.confinement
+                    .add_evidence(&run.queue, evidence, new.at, now);
             }
         }
         let queues: BTreeSet<&Name> = new.runs.iter().map(|run| &run.queue).collect();
@@ -107,7 +108,7 @@
     }
 
     /// Gives up the job of a run if its task must not be started again.
-    fn judge(&mut self, run: &CrashedRun, now: Instant) {
+    fn assess(&mut self, run: &CrashedRun, now: Instant) {
         let task = &run.id.task;
         let Some(&number) = self.by_id.get(&task.job) else {
             return;
@@ -123,18 +124,18 @@
                 "task was in several crashes"
             );
         }
-        self.end_if_condemned(number, verdict, now);
+        self.end_if_unstartable(number, verdict, now);
     }
 
-    fn end_if_condemned(&mut self, number: JobNumber, verdict: Verdict, now: Instant) {
+    fn end_if_unstartable(&mut self, number: JobNumber, verdict: Verdict, now: Instant) {
         match verdict {
-            Verdict::Guilty => self.end_job(number, JobOutcome::Failed, now),
+            Verdict::Cause => self.end_job(number, JobOutcome::Failed, now),
             Verdict::Exhausted => {
                 let detail = "several workers have crashed under a task of the job";
                 let refusal = Refusal::failed(Code::WorkerLost, detail);
                 self.end_job(number, JobOutcome::Refused(refusal), now);
             }
-            Verdict::Clear | Verdict::Suspect | Verdict::StrongSuspect => {}
+            Verdict::Clear | Verdict::Suspect | Verdict::RepeatedSuspect => {}
         }
     }
 
@@ -153,9 +154,9 @@
         let suspects = &self.suspects;
         job.ran |= tasks.iter().any(|task| suspects.crashes_under(task) > 0);
         let mut verdicts = tasks.iter().map(|task| suspects.verdict(task));
-        let condemned = verdicts.find(|v| matches!(v, Verdict::Guilty | Verdict::Exhausted));
-        if let Some(verdict) = condemned {
-            self.end_if_condemned(number, verdict, now);
+        let unstartable = verdicts.find(|v| matches!(v, Verdict::Cause | Verdict::Exhausted));
+        if let Some(verdict) = unstartable {
+            self.end_if_unstartable(number, verdict, now);
         }
     }
 
@@ -174,7 +175,7 @@
         match self.suspects.verdict(&task) {
             Verdict::Clear => Isolation::Shared,
             Verdict::Suspect if is_unlikely => Isolation::Spaced,
-            Verdict::Suspect | Verdict::StrongSuspect | Verdict::Guilty | Verdict::Exhausted => {
+            Verdict::Suspect | Verdict::RepeatedSuspect | Verdict::Cause | Verdict::Exhausted => {
                 Isolation::Alone
             }
         }
@@ -182,10 +183,10 @@
 
     /// Returns true if a run without any other run at its worker has to show whether a task of the job
     /// crashes workers.
-    pub(super) fn awaits_judgment(&self, job: &Job) -> bool {
+    pub(super) fn awaits_isolated_run(&self, job: &Job) -> bool {
         let is_strong = |(pos, task): (TaskPos, &Task)| {
             let id = job.run_id(pos, 0).task;
-            task.state != TaskState::Done && self.suspects.verdict(&id) == Verdict::StrongSuspect
+            task.state != TaskState::Done && self.suspects.verdict(&id) == Verdict::RepeatedSuspect
         };
         !self.suspects.is_empty() && job.tasks().any(is_strong)
     }
--- a/crates/masticcross-jobs/src/scheduler/placement.rs
+++ b/crates/masticcross-jobs/src/scheduler/placement.rs
@@ -161,7 +161,7 @@
     }
 
     /// Returns true if a run may crash one of the last workers that are left to its confined queue. A
-    /// strong suspect runs all the same, as its judgment protects the other workers.
+    /// repeated suspect runs all the same, as the result protects the other workers.
     fn is_too_risky(
         &self,
         number: JobNumber,
--- a/crates/masticcross-jobs/src/scheduler/tests/crashes.rs
+++ b/crates/masticcross-jobs/src/scheduler/tests/crashes.rs
@@ -64,7 +64,7 @@
 
     /// Crashes workers under a task until its queue is confined.
     fn confine_usual_queue(&mut self) {
-        let (first, run) = self.submit_task("deadly");
+        let (first, run) = self.submit_task("crashing");
         self.crash(first, &[&run]);
         let (second, run) = self.sent.pop().expect("placed again");
         assert_eq!(run.isolation, Isolation::Spaced);
@@ -151,7 +151,7 @@
         assert_eq!(f.sent.len(), 0);
     };
 
-    a_job_waits_for_the_judgment_of_its_suspect => |mut f: Fixture| {
+    a_job_waits_for_the_isolated_run_of_its_suspect => |mut f: Fixture| {
         f.confine_usual_queue();
         f.advance(SECOND);
         assert_eq!(f.outcomes(), vec![]);
@@ -258,7 +258,7 @@
         assert_eq!(f.outcomes().len(), 1);
     };
 
-    a_crash_beside_runs_of_a_confined_queue_accuses_no_other_queue => |mut f: Fixture| {
+    a_crash_beside_runs_of_a_confined_queue_is_no_evidence_against_another_queue => |mut f: Fixture| {
         f.confine_usual_queue();
         let first = RunRequest { id: run_of("urgent"), ..f.submit_task("any").1 };
         let second = RunRequest { isolation: Isolation::Spaced, ..first.clone() };
--- a/crates/masticcross-jobs/tests/crashes.rs
+++ b/crates/masticcross-jobs/tests/crashes.rs
@@ -49,17 +49,17 @@
         let answer = job.answer.as_ref().map(|(_, outcome)| outcome);
         assert!(answer.is_some(), "{name} got no answer");
         assert!(
-            job.deadly || answer != Some(&JobOutcome::Failed),
+            job.crashes_workers || answer != Some(&JobOutcome::Failed),
             "{name} was given up although none of its tasks crashes workers"
         );
         assert!(
-            !job.deadly || answer != Some(&JobOutcome::Completed),
+            !job.crashes_workers || answer != Some(&JobOutcome::Completed),
             "{name} cannot complete"
         );
     }
 }
 
-/// Checks that the kinds without deadly tasks are served from shortly after the first crash on.
+/// Checks that the kinds without crashing tasks are served from shortly after the first crash on.
 fn check_others(report: &Report, others: &[usize]) {
     let first = *report.crashes.first().expect("there are crashes");
     for kind in others {
@@ -91,7 +91,7 @@
 scenarios! {
     a_task_that_crashes_its_workers_is_given_up_as_failed: SEEDS, scenario(vec![outbreak(SHORT, 0.0)]), |report| {
         assert_eq!(report.by_task.len(), 1);
-        let job = report.jobs.values().find(|job| job.deadly).expect("one job");
+        let job = report.jobs.values().find(|job| job.crashes_workers).expect("one job");
         let (_, outcome) = job.answer.as_ref().expect("an answer");
         assert_eq!(*outcome, JobOutcome::Failed);
     };
--- a/crates/masticcross-jobs/tests/crashes/play.rs
+++ b/crates/masticcross-jobs/tests/crashes/play.rs
@@ -115,7 +115,7 @@
 #[derive(Debug, Clone)]
 pub struct PlayedJob {
     pub kind: usize,
-    pub deadly: bool,
+    pub crashes_workers: bool,
     pub arrived_ms: u64,
     pub answer: Option<(u64, JobOutcome)>,
     pub started: bool,
@@ -129,7 +129,7 @@
     pub jobs: BTreeMap<Name, PlayedJob>,
     /// Times of the crashes by a task, in milliseconds.
     pub crashes: Vec<u64>,
-    /// Crashes that each deadly task has caused.
+    /// Crashes that each crashing task has caused.
     pub by_task: BTreeMap<TaskId, usize>,
     /// Starts of a task after it had crashed three workers.
     pub late_starts: BTreeMap<TaskId, usize>,
@@ -141,7 +141,7 @@
     pub fn share_in_time(&self, kind: usize, arrived: std::ops::Range<u64>) -> f64 {
         let of_kind = |job: &&PlayedJob| {
             job.kind == kind
-                && !job.deadly
+                && !job.crashes_workers
                 // A job whose entry died is late for that reason alone.
                 && !job.resubmitted
                 && arrived.contains(&job.arrived_ms)
@@ -262,18 +262,18 @@
             let active =
                 |o: &&Outbreak| o.kind == kind && (o.from_ms..o.until_ms).contains(&(at as u64));
             let share = outbreaks.iter().find(active).map_or(0.0, |o| o.share);
-            let deadly = self.rng.random_bool(share);
+            let crashes_workers = self.rng.random_bool(share);
             let name: Name = format!("job-{kind}-{number}").into();
-            self.add_job(name, kind, at as u64, deadly);
+            self.add_job(name, kind, at as u64, crashes_workers);
             at -= self.rng.random_range(f64::EPSILON..1.0).ln() * 1_000.0 / rate;
             number += 1;
         }
     }
 
-    fn add_job(&mut self, name: Name, kind: usize, arrived_ms: u64, deadly: bool) {
+    fn add_job(&mut self, name: Name, kind: usize, arrived_ms: u64, crashes_workers: bool) {
         let job = PlayedJob {
             kind,
-            deadly,
+            crashes_workers,
             arrived_ms,
             answer: None,
             started: false,
@@ -421,9 +421,9 @@
         let (answer, started) = self.workers[agent].start(call, work_ms, self.now_ms);
         if started {
             job.started = true;
-            if job.deadly && task.index == 0 {
+            if job.crashes_workers && task.index == 0 {
                 let kind = job.kind;
-                self.deadly_task_started(agent, kind, task);
+                self.crashing_task_started(agent, kind, task);
             } else {
                 self.after(work_ms + DELAY_MS, Event::Poll(agent, false));
             }
@@ -432,7 +432,7 @@
         self.execute_agent_effects(agent);
     }
 
-    fn deadly_task_started(&mut self, agent: usize, kind: usize, task: TaskId) {
+    fn crashing_task_started(&mut self, agent: usize, kind: usize, task: TaskId) {
         if self.report.by_task.get(&task).is_some_and(|n| *n >= 3) {
             *self.report.late_starts.entry(task.clone()).or_default() += 1;
         }
