Forget crashes of workers after their retention without a further crash

After a single crash every later placement looked its tasks up, and their suspicion lasted for as long as no other worker crashed.

The new test failed before and passes; the tests of masticcross-jobs pass (without the known red ones).

--- a/crates/masticcross-jobs/src/crashes/suspects.rs
+++ b/crates/masticcross-jobs/src/crashes/suspects.rs
@@ -189,7 +189,8 @@
         }
     }
 
-    fn remove_old(&mut self, now: Instant) {
+    /// Forgets the crashes that are too old.
+    pub fn remove_old(&mut self, now: Instant) {
         let is_old = |at: Instant| now.saturating_duration_since(at) >= RETENTION;
         if !self.times.iter().any(|time| is_old(time.at)) {
             return;
--- a/crates/masticcross-jobs/src/scheduler/mod.rs
+++ b/crates/masticcross-jobs/src/scheduler/mod.rs
@@ -309,6 +309,7 @@
     /// Applies delays and timeouts, and places waiting tasks.
     pub fn tick(&mut self, now: Instant) {
         self.fetch_view(now);
+        self.suspects.remove_old(now);
         self.confinement.relax(now);
         let numbers: Vec<JobNumber> = self.jobs.keys().copied().collect();
         for number in numbers {
--- a/crates/masticcross-jobs/src/scheduler/tests/crashes.rs
+++ b/crates/masticcross-jobs/src/scheduler/tests/crashes.rs
@@ -11,6 +11,7 @@
 
 use super::{Effect, Fixture, SECOND, name, tasks, worker};
 use crate::crashes::SPACING;
+use crate::crashes::log::RETENTION;
 use crate::job::{JobOutcome, JobRequest};
 use crate::scheduler::SessionId;
 
@@ -166,6 +167,15 @@
         assert_eq!(f.outcomes(), vec![JobOutcome::Completed]);
     };
 
+    crashes_are_forgotten_without_a_further_crash => |mut f: Fixture| {
+        let (first, run) = f.submit_task("job");
+        f.crash(first, &[&run]);
+        f.end_all(RunResult::Done);
+        assert!(!f.scheduler.suspects.is_empty());
+        f.advance(RETENTION);
+        assert!(f.scheduler.suspects.is_empty());
+    };
+
     a_job_that_is_submitted_again_keeps_its_crashes => |mut f: Fixture| {
         let (_, run) = f.submit_task("elsewhere");
         f.step(|s, now| s.cancel(1, now));
