Add the messages with which entries transfer jobs to each other

Cause: an entry that gets more jobs than its processor can handle has no way to pass them on, although other entries and the workers have capacity left.

Change: the frame `Peer` with probes, credits, jobs, answers and cancellations (docs/design/hard-load.md, part 2). The version of the protocol stays: an entry of the present version refuses a session of another entry, which then counts as one that cannot be reached.

Check: the generated frames of the codec's quickcheck tests include the new ones; 12 tests of the package pass.

--- a/crates/masticcross-entry/src/dispatch/serve.rs
+++ b/crates/masticcross-entry/src/dispatch/serve.rs
@@ -136,7 +136,8 @@
             | Frame::HandoverReceived(_)
             | Frame::AgentContactQuery(_)
             | Frame::AgentContactReply { .. }
-            | Frame::Pool(_) => return FrameOutcome::Close(Some(Code::MalformedFrame)),
+            | Frame::Pool(_)
+            | Frame::Peer(_) => return FrameOutcome::Close(Some(Code::MalformedFrame)),
         }
         FrameOutcome::Continue
     }
--- a/crates/masticcross-wire/src/codec/mod.rs
+++ b/crates/masticcross-wire/src/codec/mod.rs
@@ -112,6 +112,7 @@
             in_contact,
         } => (queried.len() + in_contact.len()) * PART_BYTES,
         Frame::Pool(frame) => frame.part_count() * PART_BYTES + frame.text_bytes(),
+        Frame::Peer(frame) => frame.part_count() * PART_BYTES + frame.text_bytes(),
         Frame::Hello(_)
         | Frame::Goodbye(_)
         | Frame::Ping(_)
--- a/crates/masticcross-wire/src/codec/tests.rs
+++ b/crates/masticcross-wire/src/codec/tests.rs
@@ -1,5 +1,6 @@
 //! Checks that every frame decodes to what was encoded, and that no input makes the decoder panic.
 
+mod peer;
 mod pool;
 
 use masticcross_basics::timeline::Timestamp;
@@ -15,7 +16,7 @@
 const SEED: u64 = 1;
 
 /// Number of kinds of frames that the generator produces.
-const KINDS: usize = 22;
+const KINDS: usize = 23;
 
 /// First of the kinds about tasks or jobs.
 const FIRST_TASK_KIND: usize = 7;
@@ -151,6 +152,7 @@
             in_contact: list(g, agent),
         },
         20 => Frame::Drain,
+        21 => Frame::Peer(peer::frame(g)),
         _ => Frame::Pool(pool::frame(g)),
     }
 }
@@ -248,12 +250,7 @@
 fn answer(g: &mut Gen) -> JobAnswer {
     match u8::arbitrary(g) % 4 {
         0 => JobAnswer::Complete(list(g, text).into()),
-        1 => JobAnswer::Refused(Refusal {
-            code: code(g),
-            not_run: bool::arbitrary(g),
-            retry_after_ms: Option::arbitrary(g),
-            detail: String::arbitrary(g),
-        }),
+        1 => JobAnswer::Refused(refusal(g)),
         2 => JobAnswer::Running(JobState {
             tasks: u16::arbitrary(g),
             ended: u16::arbitrary(g),
@@ -263,6 +260,15 @@
     }
 }
 
+fn refusal(g: &mut Gen) -> Refusal {
+    Refusal {
+        code: code(g),
+        not_run: bool::arbitrary(g),
+        retry_after_ms: Option::arbitrary(g),
+        detail: String::arbitrary(g),
+    }
+}
+
 fn record(g: &mut Gen) -> JobRecord {
     let request = request(g);
     JobRecord {
--- a/crates/masticcross-wire/src/codec/tests/pool.rs
+++ b/crates/masticcross-wire/src/codec/tests/pool.rs
@@ -148,7 +148,7 @@
     }
 }
 
-fn resources(g: &mut Gen) -> Resources {
+pub fn resources(g: &mut Gen) -> Resources {
     Resources {
         cpu: u64::arbitrary(g),
         memory_mb: u64::arbitrary(g),
@@ -156,6 +156,6 @@
     }
 }
 
-fn name(g: &mut Gen) -> Name {
+pub fn name(g: &mut Gen) -> Name {
     String::arbitrary(g).into()
 }
--- a/crates/masticcross-wire/src/frame.rs
+++ b/crates/masticcross-wire/src/frame.rs
@@ -11,6 +11,7 @@
 
 use crate::Incarnation;
 use crate::job::{JobAnswer, JobRecord, JobRequest, Json};
+use crate::peer::PeerFrame;
 use crate::pool::PoolFrame;
 use crate::view::{AgentView, ViewVersion};
 
@@ -387,4 +388,6 @@
     },
     /// A message about tasks with resources.
     Pool(PoolFrame),
+    /// A message between entries about transferred jobs.
+    Peer(PeerFrame),
 }
--- a/crates/masticcross-wire/src/kind.rs
+++ b/crates/masticcross-wire/src/kind.rs
@@ -29,6 +29,7 @@
             Self::AgentContactQuery(_) => "who_hears",
             Self::AgentContactReply { .. } => "heard",
             Self::Pool(frame) => frame.kind(),
+            Self::Peer(frame) => frame.kind(),
         }
     }
 }
--- a/crates/masticcross-wire/src/lib.rs
+++ b/crates/masticcross-wire/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod job;
 mod kind;
 pub mod link;
+pub mod peer;
 pub mod pool;
 pub mod view;
 pub mod ws;
