--- a/crates/masticcross-jobs/src/job.rs
+++ b/crates/masticcross-jobs/src/job.rs
@@ -85,6 +85,14 @@
         ends.into_iter().max().unwrap_or(0)
     }
 
+    /// Returns the CPU that the tasks of the largest step take at the same time, in thousandths of a
+    /// core.
+    #[must_use]
+    pub fn concurrent_cpu(&self) -> u64 {
+        let cpu = |s: &StepRequest| s.resources.cpu.saturating_mul(s.count.into());
+        self.steps.iter().map(cpu).max().unwrap_or(0)
+    }
+
     /// Returns the CPU time of all tasks, in thousandths of a core times milliseconds.
     #[must_use]
     pub fn work(&self) -> u64 {
