Transfer jobs of an entry at its limit to other entries

Change: the entry measures the lag of its tick loop, opens sessions to other entries under load, transfers jobs at their arrival and forwards the answers; as receiver it runs them with the age that they had at the origin.

--- a/crates/masticcross-jobs/src/entry.rs
+++ b/crates/masticcross-jobs/src/entry.rs
@@ -1,24 +1,31 @@
 //! An entry: connects the scheduler to the sessions of agents, the waiting callers and the clock.
 
+mod metrics;
+mod peers;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use masticcross_basics::Name;
 use masticcross_wire::pool::{EntryAddr, OperatorView, PoolFrame};
-use masticcross_wire::{Frame, Hello, Incarnation, Link, PROTOCOL_VERSION, Refusal, Role};
+use masticcross_wire::{Dialer, Frame, Hello, Incarnation, Link, PROTOCOL_VERSION, Refusal, Role};
 use parking_lot::Mutex;
 use rustc_hash::FxHashMap;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
 
+use crate::handover::TransferNumber;
 use crate::job::{JobOutcome, JobRequest};
-use crate::metrics::{self, EntryMetrics, SessionEnd, ViewRead, ViewSource};
+use crate::metrics::{EntryMetrics, Result as MetricsResult, SessionEnd, ViewRead, ViewSource};
 use crate::scheduler::table::JobNumber;
 use crate::scheduler::{Effect, Scheduler, SessionId, ViewStatus};
 use crate::supervisor::clients::update_addrs;
 
+use metrics::HandoverMetrics;
+use peers::PeerState;
+
 /// Time without received frames after which a session is closed.
 const SESSION_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -43,34 +50,58 @@
 pub struct Entry {
     identity: EntryIdentity,
     metrics: EntryMetrics,
+    dialer: Option<Arc<dyn Dialer>>,
     state: Mutex<State>,
 }
 
+/// Who waits for the answer of a job.
+enum Waiter {
+    Caller(oneshot::Sender<JobOutcome>),
+    /// The entry that transferred the job on a session, with its number there.
+    Origin(SessionId, TransferNumber),
+}
+
 struct State {
     scheduler: Scheduler,
     sessions: BTreeMap<SessionId, mpsc::Sender<Frame>>,
     next_session: SessionId,
-    callers: FxHashMap<JobNumber, Vec<oneshot::Sender<JobOutcome>>>,
+    callers: FxHashMap<JobNumber, Vec<Waiter>>,
     entries: BTreeMap<Name, EntryAddr>,
+    peers: PeerState,
 }
 
 impl Entry {
-    /// Creates an entry without agents, jobs and operator settings.
+    /// Creates an entry without agents, jobs and operator settings. It transfers no jobs.
+    ///
+    /// # Errors
+    /// Fails if a metric's name is registered twice.
+    pub fn new(identity: EntryIdentity) -> MetricsResult<Arc<Self>> {
+        Self::with_dialer(identity, None)
+    }
+
+    /// Creates an entry that dials other entries when it gets more jobs than it can process.
     ///
     /// # Errors
     /// Fails if a metric's name is registered twice.
-    pub fn new(identity: EntryIdentity) -> metrics::Result<Arc<Self>> {
+    pub fn with_dialer(
+        identity: EntryIdentity,
+        dialer: Option<Arc<dyn Dialer>>,
+    ) -> MetricsResult<Arc<Self>> {
         let own_addr = identity.addr.clone();
+        let metrics = EntryMetrics::new()?;
+        let handover_metrics = HandoverMetrics::new(metrics.registry())?;
         let state = State {
             scheduler: Scheduler::new(identity.zone.clone()),
             sessions: BTreeMap::new(),
             next_session: 0,
             callers: FxHashMap::default(),
             entries: BTreeMap::from([(own_addr.name.clone(), own_addr)]),
+            peers: PeerState::new(&identity, handover_metrics),
         };
         Ok(Arc::new(Self {
             identity,
-            metrics: EntryMetrics::new()?,
+            metrics,
+            dialer,
             state: Mutex::new(state),
         }))
     }
@@ -127,19 +158,20 @@
         self.with_state(|state, now| match state.scheduler.find(id) {
             Some((number, _)) => {
                 state.scheduler.cancel(number, now);
-                state.callers.remove(&number);
+                state.cancel_waiters(number);
                 true
             }
-            None => false,
+            None => state.peers.cancel(id),
         })
     }
 
     /// Returns whether a task of a job may have started, or `None` if this entry does not have the
-    /// job.
+    /// job. It is false for a job in transfer, as only the other entry knows.
     #[must_use]
     pub fn may_have_started(&self, id: &str) -> Option<bool> {
         let state = self.state.lock();
-        state.scheduler.find(id).map(|(_, started)| started)
+        let found = state.scheduler.find(id).map(|(_, started)| started);
+        found.or_else(|| state.peers.contains(id).then_some(false))
     }
 
     /// Returns the number of jobs in a queue of which no task can have started.
@@ -151,7 +183,8 @@
     /// Returns the number of jobs that have not ended.
     #[must_use]
     pub fn open_jobs(&self) -> usize {
-        self.state.lock().scheduler.gauges().jobs
+        let state = self.state.lock();
+        state.scheduler.gauges().jobs + state.peers.jobs_in_transfer()
     }
 
     /// Returns true if there are an operator view and a usable worker.
@@ -195,6 +228,7 @@
         if changed.is_empty() {
             return;
         }
+        state.update_peer_addrs();
         let sessions: Vec<SessionId> = state.sessions.keys().copied().collect();
         for session in sessions {
             state.send(session, PoolFrame::Entries(changed.clone()));
@@ -203,25 +237,28 @@
 
     fn add_caller(self: &Arc<Self>, request: JobRequest) -> Result<WaitingCaller, Refusal> {
         let (tx, rx) = oneshot::channel();
-        let number = self.with_state(|state, now| {
-            let number = state.scheduler.submit(request, now)?;
-            state.callers.entry(number).or_default().push(tx);
-            Ok(number)
-        })?;
+        let id = request.id.clone();
+        self.with_state(|state, now| state.admit(request, tx, now))?;
         Ok(WaitingCaller {
             entry: self.clone(),
-            number,
+            id,
             rx,
         })
     }
 
-    fn remove_caller(&self, number: JobNumber) {
+    fn remove_caller(&self, id: &str) {
         self.with_state(|state, now| {
-            let Some(callers) = state.callers.get_mut(&number) else {
+            let Some((number, _)) = state.scheduler.find(id) else {
+                if state.peers.remove_caller(id) {
+                    self.metrics.callers_left();
+                }
+                return;
+            };
+            let Some(waiters) = state.callers.get_mut(&number) else {
                 return;
             };
-            callers.retain(|tx| !tx.is_closed());
-            if callers.is_empty() {
+            waiters.retain(|waiter| !waiter.is_gone());
+            if waiters.is_empty() {
                 self.metrics.callers_left();
                 state.callers.remove(&number);
                 state.scheduler.cancel(number, now);
@@ -246,7 +283,8 @@
         let mut ticks = interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
-            ticks.tick().await;
+            let due = ticks.tick().await;
+            self.apply_lag(due.elapsed());
             self.with_state(|state, now| state.scheduler.tick(now));
         }
     }
@@ -273,13 +311,17 @@
             log::info!("session closed: first frame is not a hello");
             return;
         };
-        if hello.protocol != PROTOCOL_VERSION || hello.role != Role::Agent {
-            log::warn!(name:% = hello.name, protocol = hello.protocol; "session refused: wrong protocol version or role");
+        if hello.protocol != PROTOCOL_VERSION || hello.name == self.identity.addr.name {
+            log::warn!(name:% = hello.name, protocol = hello.protocol; "session refused: wrong protocol version or own name");
             return;
         }
         if link.tx.send(Frame::Hello(self.hello())).await.is_err() {
             return;
         }
+        if hello.role == Role::Entry {
+            self.serve_as_receiver(hello.name, link).await;
+            return;
+        }
         let session = self.open(&hello, &link);
         log::info!(agent:% = hello.name, session; "session opened");
         let end = self.receive_frames(&hello.name, session, &mut link).await;
@@ -372,6 +414,12 @@
     }
 }
 
+impl Waiter {
+    fn is_gone(&self) -> bool {
+        matches!(self, Self::Caller(tx) if tx.is_closed())
+    }
+}
+
 impl State {
     fn send(&mut self, session: SessionId, frame: PoolFrame) {
         let Some(tx) = self.sessions.get(&session) else {
@@ -384,33 +432,47 @@
     }
 
     fn answer(&mut self, number: JobNumber, outcome: &JobOutcome) {
-        for caller in self.callers.remove(&number).unwrap_or_default() {
-            // The caller may have disconnected.
-            let _ = caller.send(outcome.clone());
+        for waiter in self.callers.remove(&number).unwrap_or_default() {
+            match waiter {
+                // The caller may have disconnected.
+                Waiter::Caller(tx) => drop(tx.send(outcome.clone())),
+                Waiter::Origin(session, number) => self.peers.answer(session, number, outcome),
+            }
         }
     }
+
+    /// Answers those that wait for a job that was cancelled here.
+    fn cancel_waiters(&mut self, number: JobNumber) {
+        self.answer(number, &cancelled());
+    }
+
+    fn update_peer_addrs(&mut self) {
+        self.peers.set_entries(&self.entries);
+    }
 }
 
 /// A caller that waits for its job. Dropping it signals that the caller has disconnected.
 struct WaitingCaller {
     entry: Arc<Entry>,
-    number: JobNumber,
+    id: Name,
     rx: oneshot::Receiver<JobOutcome>,
 }
 
 impl WaitingCaller {
     async fn outcome(mut self) -> JobOutcome {
         let outcome = (&mut self.rx).await;
-        outcome.unwrap_or_else(|_| {
-            let code = masticcross_basics::Code::Cancelled;
-            JobOutcome::Refused(Refusal::failed(code, "the job was cancelled"))
-        })
+        outcome.unwrap_or_else(|_| cancelled())
     }
 }
 
 impl Drop for WaitingCaller {
     fn drop(&mut self) {
         self.rx.close();
-        self.entry.remove_caller(self.number);
+        self.entry.remove_caller(&self.id);
     }
 }
+
+fn cancelled() -> JobOutcome {
+    let code = masticcross_basics::Code::Cancelled;
+    JobOutcome::Refused(Refusal::failed(code, "the job was cancelled"))
+}
--- a/crates/masticcross-jobs/src/metrics.rs
+++ b/crates/masticcross-jobs/src/metrics.rs
@@ -113,8 +113,12 @@
     Closed,
     /// No frame was received in time.
     Silent,
-    /// The queue of frames to the agent was full.
+    /// The queue of frames to the other process was full.
     QueueFull,
+    /// A frame violated the protocol.
+    Malformed,
+    /// The session is not needed any more.
+    Retired,
 }
 
 impl SessionEnd {
@@ -125,6 +129,8 @@
             Self::Closed => "closed",
             Self::Silent => "silent",
             Self::QueueFull => "queue_full",
+            Self::Malformed => "malformed",
+            Self::Retired => "retired",
         }
     }
 }
@@ -186,6 +192,12 @@
         })
     }
 
+    /// Returns the registry, for the metrics of other modules.
+    #[must_use]
+    pub fn registry(&self) -> &Registry {
+        &self.registry
+    }
+
     /// Counts a job that was answered.
     pub fn answered(&self, outcome: &JobOutcome, took: Duration) {
         let label = match outcome {
--- a/crates/masticcross-jobs/src/scheduler/closing.rs
+++ b/crates/masticcross-jobs/src/scheduler/closing.rs
@@ -187,7 +187,7 @@
     }
 
     /// Returns true if there is a usable worker for a service.
-    fn serves(&self, service: &Name) -> bool {
+    pub(super) fn serves(&self, service: &Name) -> bool {
         let usable = |w: &Worker| w.info.as_ref().is_some_and(|i| i.service == *service);
         self.workers.values().any(usable)
     }
--- a/crates/masticcross-jobs/src/scheduler/mod.rs
+++ b/crates/masticcross-jobs/src/scheduler/mod.rs
@@ -13,6 +13,7 @@
 //! which the caller must execute in the order in which they were queued.
 
 pub mod admission;
+mod capacity;
 mod closing;
 mod crashes;
 mod ends;
@@ -171,6 +172,20 @@
     /// Fails if the request is invalid, no configuration has been read or the queue is unknown. No
     /// task has run then.
     pub fn submit(&mut self, request: JobRequest, now: Instant) -> Result<JobNumber, Refusal> {
+        self.submit_arrived(request, now, now)
+    }
+
+    /// Accepts a job as [`Scheduler::submit`] does. Its objective counts from the time at which it
+    /// arrived at the entry that has its callers.
+    ///
+    /// # Errors
+    /// As [`Scheduler::submit`].
+    pub fn submit_arrived(
+        &mut self,
+        request: JobRequest,
+        arrived: Instant,
+        now: Instant,
+    ) -> Result<JobNumber, Refusal> {
         if let Some(number) = self.by_id.get(&request.id) {
             return Ok(*number);
         }
@@ -179,7 +194,7 @@
         let number = self.next_job;
         self.next_job += 1;
         let id = request.id.clone();
-        let job = Job::new(request, queue, now);
+        let job = Job::new(request, queue, arrived);
         let view = self.view_status(now);
         log::info!(
             job:% = id, queue:% = job.queue.name, tasks = job.tasks().count(),
@@ -206,8 +221,13 @@
 
     /// Ends a job that was canceled or whose callers have all disconnected.
     pub fn cancel(&mut self, number: JobNumber, now: Instant) {
+        self.stop(number, "stopped", now);
+    }
+
+    /// Ends a job without an answer. The outcome is for the log.
+    pub fn stop(&mut self, number: JobNumber, outcome: &str, now: Instant) {
         if let Some(job) = self.jobs.get(&number) {
-            closing::log_end(job, "stopped", 0, now);
+            closing::log_end(job, outcome, 0, now);
         }
         self.remove_job(number);
     }
--- a/crates/masticcross-timeline/src/explain.rs
+++ b/crates/masticcross-timeline/src/explain.rs
@@ -64,6 +64,10 @@
     NoWorker,
     /// It was refused because the request was not acceptable or there was no configuration.
     NotAccepted,
+    /// It was refused because the entry got more jobs than it could process; no task ran.
+    EntryAtLimit,
+    /// Contact to the entry that it was transferred to was lost; it may have run.
+    TransferLost,
     /// It was abandoned because a run was lost and could not be repeated in time.
     RunLost,
     /// It was abandoned after some tasks had started, because no worker had free resources for the
@@ -90,6 +94,8 @@
             Self::NoCapacity => "refused: no room in time",
             Self::NoWorker => "refused: no worker in contact",
             Self::NotAccepted => "refused: not accepted",
+            Self::EntryAtLimit => "refused: entry at its limit",
+            Self::TransferLost => "unknown: contact lost after transfer",
             Self::RunLost => "given up: a run was lost",
             Self::NoCapacityForRest => "given up: no room for the rest",
             Self::TaskFailed => "failed: a task failed too often",
@@ -104,7 +110,11 @@
     #[must_use]
     pub fn from_line(line: &LogLine) -> Option<Self> {
         match line.field("message") {
+            "job refused" if line.field("code") == "2001" => Some(Self::EntryAtLimit),
             "job refused" => Some(Self::NotAccepted),
+            "transferred job lost" => Some(Self::TransferLost),
+            // The entry that transferred the job reports the loss of contact.
+            "job ended" if line.field("outcome") == "origin_lost" => None,
             "job ended" => Some(Self::from_job_ended(line)),
             _ => None,
         }
--- a/crates/masticcross-timeline/tests/explain.rs
+++ b/crates/masticcross-timeline/tests/explain.rs
@@ -1,4 +1,4 @@
-//! Tests the explanations of docs/OPERATIONS.md with recorded log lines of three jobs.
+//! Tests the explanations of docs/OPERATIONS.md with recorded log lines of some jobs.
 
 use masticcross_timeline::explain::{Cause, LogLine, count_causes, lines_about};
 
@@ -26,6 +26,13 @@
     a_job_late_after_a_stalled_run_is_explained: "94c8fac76ac98c33",
         ["job taken", "stopped: hardly any progress", "run ended", "job ended"],
         Some(Cause::LateRerun);
+    a_transferred_job_has_the_cause_that_the_receiver_logged: "0000a0010000000b",
+        ["job transferred", "job received", "job taken", "job ended"], Some(Cause::InTime);
+    a_job_refused_by_an_entry_at_its_limit_is_explained: "0000a00200000012",
+        ["job refused"], Some(Cause::EntryAtLimit);
+    a_job_lost_after_its_transfer_is_explained: "0000a0020000000b",
+        ["job transferred", "job received", "job taken", "transferred job lost"],
+        Some(Cause::TransferLost);
     a_job_without_an_end_has_no_cause: "dd6f9537f4e2939b", ["job taken"], None;
 }
 
@@ -34,6 +41,19 @@
     let counts = count_causes(&recorded_lines());
     assert_eq!(
         counts.into_iter().collect::<Vec<_>>(),
-        [(Cause::NoCapacity, 1), (Cause::LateRerun, 1)]
+        [
+            (Cause::InTime, 1),
+            (Cause::NoCapacity, 1),
+            (Cause::EntryAtLimit, 1),
+            (Cause::TransferLost, 1),
+            (Cause::LateRerun, 1)
+        ]
     );
 }
+
+#[test]
+fn a_job_whose_origin_was_lost_is_counted_by_the_line_of_the_origin_only() {
+    let line = r#"entry-b {"message": "job ended", "job": "1", "outcome": "origin_lost"}"#;
+    let line = LogLine::parse(line).expect("an object");
+    assert_eq!(Cause::from_line(&line), None);
+}
