--- a/crates/masticcross-jobs/src/handover/credit.rs
+++ b/crates/masticcross-jobs/src/handover/credit.rs
@@ -5,17 +5,19 @@
 //! So it follows the entry's own speed without a constant of a deployment. Each origin gets an equal
 //! part, and a job counts against the part of one session only, so that no credit is spent twice.
 //!
-//! The second limit is the free CPU of the workers. Up to [`MAX_SESSIONS`] entries see the same free
-//! CPU, and each counts on its part only, divided by the CPU of a mean recent job.
+//! The second limit is the free CPU of the workers. The up to [`MAX_PEERS`] receivers of an origin see
+//! the same free CPU, and each counts on its part only, divided by the CPU of a mean recent job. An
+//! eighth instead, for the entries that share a worker, kept the credits of three receivers below the
+//! load of one entry while a third of the CPU was free.
 
 use std::time::Duration;
 
 use tokio::time::Instant;
 
-use crate::entry_selection::MAX_SESSIONS;
 use crate::own_load::{Load, NORMAL_LAG_MS};
 
 use super::PROBE_INTERVAL;
+use super::selection::MAX_PEERS;
 
 /// Jobs per probe interval that all origins together get at first: 80 a second.
 const FIRST_BUDGET: f64 = 12.0;
@@ -124,8 +126,8 @@
         if capacity.load != Load::Normal || !capacity.is_open || capacity.free_cpu == 0 {
             return 0;
         }
-        let entries = as_f64(u64::try_from(MAX_SESSIONS).unwrap_or(u64::MAX));
-        let by_cpu = as_f64(capacity.free_cpu) / entries / self.mean_job_cpu.max(1.0);
+        let receivers = as_f64(u64::try_from(MAX_PEERS).unwrap_or(u64::MAX));
+        let by_cpu = as_f64(capacity.free_cpu) / receivers / self.mean_job_cpu.max(1.0);
         let origins = as_f64(u64::try_from(origins.max(1)).unwrap_or(u64::MAX));
         to_count((self.budget.min(by_cpu) / origins).floor())
     }
--- a/crates/masticcross-jobs/src/handover/tests.rs
+++ b/crates/masticcross-jobs/src/handover/tests.rs
@@ -255,7 +255,7 @@
     let mut budget = CreditBudget::default();
     budget.job_arrived(1_000);
     let capacity = Capacity {
-        free_cpu: 16_000,
+        free_cpu: 6_000,
         ..CAPACITY
     };
     assert_eq!(budget.credit(capacity, 1), 2);
