Let tasks wait for a worker near their data while this is worthwhile

Cause: a task whose data is in a full rack starts elsewhere at once and takes remote_factor times as long. With data spread equally this takes the capacity that the next tasks need near their data: at 80% of the capacity 64 to 78% of the runs are remote. Workers with many remote runs also count as slow and get one run at a time.

Change: the setting remote_factor (optional, at least 1). A task waits if the expected wait near its data is below the run time that it loses elsewhere, and its chance to be in time is no worse after the wait. scheduler::place_wait decides, scheduler::locality observes. The speed of a worker is measured without the factor. Metrics, debug lines, place_wait_ms in "job ended" and a cause in explain.

--- a/crates/masticcross-jobs/src/entry.rs
+++ b/crates/masticcross-jobs/src/entry.rs
@@ -75,6 +75,12 @@
         }))
     }
 
+    /// Sets the factor by which tasks take longer away from their data, at least 1. It must be set
+    /// before [`Entry::run`]; without it no task waits for a worker near its data.
+    pub fn set_remote_factor(&self, factor: f64) {
+        self.state.lock().scheduler.set_remote_factor(factor);
+    }
+
     /// Serves the sessions of agents until the process ends.
     pub async fn run(self: Arc<Self>, links: mpsc::Receiver<Link>) {
         tokio::join!(self.clone().accept(links), self.clone().tick_loop());
--- a/crates/masticcross-jobs/src/metrics.rs
+++ b/crates/masticcross-jobs/src/metrics.rs
@@ -4,12 +4,12 @@
 
 use masticcross_wire::pool::{RunEnd, RunResult};
 use prometheus::{
-    Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
-    Registry, TextEncoder,
+    Counter, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    Opts, Registry, TextEncoder,
 };
 
 use crate::job::JobOutcome;
-use crate::scheduler::{SchedulerGauges, ViewStatus};
+use crate::scheduler::{PlaceWaits, SchedulerGauges, ViewStatus};
 use crate::supervisor::SupervisorGauges;
 
 /// Result of registering metrics.
@@ -39,6 +39,8 @@
     view_reads: IntCounterVec,
     view_updates: IntCounterVec,
     session_ends: IntCounterVec,
+    place_waits: IntCounterVec,
+    place_wait_seconds: Counter,
 }
 
 /// Result of a read of the operators' records.
@@ -182,6 +184,13 @@
                 "source",
             )?,
             session_ends: counters(&registry, "session_ends_total", "Sessions ended", "reason")?,
+            place_waits: counters(
+                &registry,
+                "place_waits_total",
+                "Waits of tasks for workers near their data: started, ended near it or elsewhere",
+                "event",
+            )?,
+            place_wait_seconds: place_wait_seconds(&registry)?,
             registry,
         })
     }
@@ -237,10 +246,27 @@
         self.view_position.set(saturating(view.position));
         let age = view.age.map_or(f64::INFINITY, |age| age.as_secs_f64());
         self.view_age.set(age);
+        self.set_place_waits(gauges.place_waits);
         text(&self.registry)
     }
 }
 
+impl EntryMetrics {
+    fn set_place_waits(&self, waits: PlaceWaits) {
+        let events = [
+            ("started", waits.started),
+            ("near", waits.ended_near),
+            ("elsewhere", waits.ended_elsewhere),
+        ];
+        for (event, total) in events {
+            let counter = self.place_waits.with_label_values(&[event]);
+            counter.inc_by(total.saturating_sub(counter.get()));
+        }
+        let seconds = waits.waited.as_secs_f64() - self.place_wait_seconds.get();
+        self.place_wait_seconds.inc_by(seconds.max(0.0));
+    }
+}
+
 /// Counters, gauges and histograms of an agent.
 #[derive(Debug, Clone)]
 pub struct AgentMetrics {
@@ -328,6 +354,13 @@
     Ok(gauge)
 }
 
+fn place_wait_seconds(registry: &Registry) -> Result<Counter> {
+    let help = "Time that tasks have waited for workers near their data";
+    let counter = Counter::new("place_wait_seconds_total", help)?;
+    registry.register(Box::new(counter.clone()))?;
+    Ok(counter)
+}
+
 fn text(registry: &Registry) -> String {
     let text = TextEncoder::new().encode_to_string(&registry.gather());
     text.unwrap_or_else(|error| format!("# {error}\n"))
--- a/crates/masticcross-jobs/src/run_times.rs
+++ b/crates/masticcross-jobs/src/run_times.rs
@@ -83,6 +83,21 @@
         self.mean.after(1).map(Duration::from_secs_f64)
     }
 
+    /// Returns the share of the runs that took no longer than the given time, or `None` before the first
+    /// sample.
+    #[must_use]
+    #[expect(clippy::cast_precision_loss, reason = "there are few buckets")]
+    pub fn share_within(&self, time: Duration) -> Option<f64> {
+        if self.total_weight == 0.0 {
+            return None;
+        }
+        let position = (time.as_secs_f64().max(1e-6) * 1e6).log2() * BUCKETS_PER_DOUBLING;
+        let share =
+            |(bucket, weight): (usize, &f64)| weight * (position - bucket as f64).clamp(0.0, 1.0);
+        let within: f64 = self.weights.iter().enumerate().map(share).sum();
+        Some(within / self.total_weight)
+    }
+
     /// Returns the expected run time of the longest of a number of tasks, or `None` before the first
     /// sample.
     #[must_use]
--- a/crates/masticcross-jobs/src/scheduler/closing.rs
+++ b/crates/masticcross-jobs/src/scheduler/closing.rs
@@ -171,6 +171,7 @@
 
     /// Ends a job: answers its callers and stops its runs.
     pub(super) fn end_job(&mut self, number: JobNumber, outcome: JobOutcome, now: Instant) {
+        self.end_waits_of_job(number, now);
         if let Some(job) = self.jobs.get(&number) {
             let (label, code) = match &outcome {
                 JobOutcome::Completed => ("completed", 0),
@@ -225,7 +226,7 @@
     log::info!(
         job:% = job.request.id, queue:% = job.queue.name, outcome, code, took_ms = ms_after(now),
         objective_ms = job.objective.as_millis(), first_run_ms, runs = job.runs,
-        bad_runs = job.bad_runs;
+        bad_runs = job.bad_runs, place_wait_ms = job.place_wait.as_millis();
         "job ended"
     );
 }
@@ -238,7 +239,7 @@
         TaskState::Unreachable(_, until) | TaskState::Delayed(until) => {
             Some((*until).max(now) + expected(pos))
         }
-        TaskState::Waiting => Some(now + expected(pos)),
+        TaskState::Waiting | TaskState::AwaitingPlace => Some(now + expected(pos)),
         _ => None,
     });
     ends.max()
--- a/crates/masticcross-jobs/src/scheduler/ends.rs
+++ b/crates/masticcross-jobs/src/scheduler/ends.rs
@@ -144,10 +144,14 @@
         end: &RunEnd,
         now: Instant,
     ) {
+        let factor = self
+            .jobs
+            .get(&number)
+            .map_or(1.0, |job| self.place_factor(job, pos, name));
         let Some(job) = self.jobs.get_mut(&number) else {
             return;
         };
-        let expected = f64::from(job.step(pos).expected_ms.max(1));
+        let expected = f64::from(job.step(pos).expected_ms.max(1)) * factor;
         let all_done = job.done(pos);
         let ratio = f64::from(end.took_ms.max(1)) / expected;
         self.ratios.add(Duration::from_secs_f64(ratio));
--- a/crates/masticcross-jobs/src/scheduler/mod.rs
+++ b/crates/masticcross-jobs/src/scheduler/mod.rs
@@ -4,6 +4,8 @@
 //! - [`table`]: jobs and the state of their tasks.
 //! - [`worker`]: workers and what their agents report.
 //! - `placement`: choice of task and worker.
+//! - [`place_wait`]: how long a task waits for a worker near its data.
+//! - `locality`: the waits for workers near the data, and what is known about these.
 //! - `ends`: handling of the ends of runs.
 //! - `closing`: ends of jobs.
 //! - `crashes`: crashes of workers.
@@ -16,7 +18,9 @@
 mod closing;
 mod crashes;
 mod ends;
+mod locality;
 mod operator_view;
+pub mod place_wait;
 mod placement;
 pub mod table;
 pub mod worker;
@@ -44,6 +48,8 @@
 use crate::view::fetch::ViewFetch;
 
 use admission::{ArrivalRates, RecentShare, Saturation};
+use locality::Locality;
+pub use locality::PlaceWaits;
 pub use operator_view::ViewStatus;
 use table::{Job, JobNumber, TaskPos, TaskState, Urgency};
 use worker::Worker;
@@ -78,6 +84,8 @@
     pub workers: usize,
     /// Queues that get only a part of the workers, because their tasks crash workers.
     pub confined_queues: usize,
+    /// Waits of tasks for workers near their data, since the start of the entry.
+    pub place_waits: PlaceWaits,
 }
 
 /// Sort key of waiting jobs, lowest first: by urgency, then by the latest start at which the job is
@@ -105,6 +113,7 @@
     recent_share: RecentShare,
     arrivals: ArrivalRates,
     saturation: Saturation,
+    locality: Locality,
     view_fetch: ViewFetch,
     /// The operator view in the form in which it is sent, if it was requested.
     encoded_view: Option<EncodedView>,
@@ -135,6 +144,7 @@
             recent_share: RecentShare::default(),
             arrivals: ArrivalRates::default(),
             saturation: Saturation::default(),
+            locality: Locality::default(),
             view_fetch: ViewFetch::new(operator_view::FETCH_PACE, 0),
             encoded_view: None,
             view_keepers: SmallVec::new(),
@@ -156,6 +166,7 @@
             waiting: self.waiting.len(),
             workers: self.workers.values().filter(usable).count(),
             confined_queues: self.confinement.len(),
+            place_waits: self.locality.counts,
         }
     }
 
@@ -209,6 +220,7 @@
         if let Some(job) = self.jobs.get(&number) {
             closing::log_end(job, "stopped", 0, now);
         }
+        self.end_waits_of_job(number, now);
         self.remove_job(number);
     }
 
@@ -226,6 +238,7 @@
             let worker = Worker::new(name.clone(), incarnation, session, now);
             self.workers.insert(name.clone(), worker);
         }
+        self.place_changed(name, now);
         self.choose_view_keepers();
         if !self.view_keepers.contains(&session) {
             self.announce_view(session);
@@ -243,6 +256,7 @@
         }
         worker.session = None;
         worker.set_info(None, now);
+        self.place_changed(name, now);
         self.choose_view_keepers();
         self.mark_unreachable(name, now);
         self.place(now);
@@ -261,6 +275,7 @@
         };
         let usable = info.is_some();
         worker.set_info(info, now);
+        self.place_changed(name, now);
         if usable {
             self.reconcile_unreachable(name, now);
         }
@@ -276,7 +291,9 @@
         now: Instant,
     ) {
         if let Some(worker) = self.worker_of(name, session) {
+            let before = worker.free();
             worker.set_free(free);
+            self.place_freed(name, before, now);
             self.place(now);
         }
     }
@@ -316,6 +333,7 @@
             self.release_delayed_tasks(number, now);
             self.abandon_if_too_late(number, now);
         }
+        self.end_due_waits(now);
         self.place(now);
         self.refuse_hopeless_jobs(now);
     }
--- a/crates/masticcross-jobs/src/scheduler/placement.rs
+++ b/crates/masticcross-jobs/src/scheduler/placement.rs
@@ -19,7 +19,7 @@
 /// Jobs skipped for lack of resources before the search ends.
 const MAX_SKIPPED_JOBS: usize = 8;
 
-/// Cost factor of a worker that is far from the task's data.
+/// Cost factor of a worker that is far from the task's data, without the setting `remote_factor`.
 const REMOTE_DATA_FACTOR: f64 = 1.5;
 
 /// A worker that can get runs now.
@@ -131,8 +131,12 @@
                     }
                 }
             };
+            let name = candidates[chosen].name.clone();
+            let may_wait = conditions.isolation == Isolation::Shared && conditions.limit.is_none();
+            if may_wait && self.wait_for_place(number, pos, &name, now) {
+                continue;
+            }
             let candidate = &mut candidates[chosen];
-            let name = candidate.name.clone();
             let Some(run_request) = self.send(number, pos, conditions.isolation, &name, now) else {
                 continue;
             };
@@ -246,7 +250,9 @@
         };
         let cost = worker.cost(&self.zone, candidate.free);
         match &job.step(pos).data_label {
-            Some(label) if !candidate.info.labels.contains(label) => cost * REMOTE_DATA_FACTOR,
+            Some(label) if !candidate.info.labels.contains(label) => {
+                cost * self.remote_cost_factor().unwrap_or(REMOTE_DATA_FACTOR)
+            }
             _ => cost,
         }
     }
@@ -280,7 +286,9 @@
             late,
         };
         let worker = self.workers.get_mut(worker)?;
+        let name = worker.name.clone();
         worker.record_sent(&run_request, now);
+        self.record_place(number, pos, &name, now);
         Some(run_request)
     }
 }
@@ -289,20 +297,23 @@
 fn accepts(job: &Job, pos: TaskPos, conditions: Conditions, candidate: &Candidate) -> bool {
     let step = job.step(pos);
     let info = &candidate.info;
-    let has_label = step
-        .label
-        .as_ref()
-        .is_none_or(|label| info.labels.contains(label));
-    let within = |max: u16| job.placed_on(pos.0, &candidate.name) < usize::from(max);
     let has_room = match conditions.isolation {
         Isolation::Shared => candidate.free.covers(&step.resources),
         Isolation::Spaced => candidate.takes_spaced && candidate.free.covers(&step.resources),
         Isolation::Alone => info.capacity.covers(&step.resources),
     };
-    info.service == job.queue.service
-        && has_room
+    has_room
         && is_open_to(candidate.place, conditions)
-        && has_label
+        && is_eligible(job, pos, &candidate.name, info)
+}
+
+/// Returns true if a worker may run a task of the job when it has free resources.
+pub(super) fn is_eligible(job: &Job, pos: TaskPos, name: &Name, info: &WorkerInfo) -> bool {
+    let step = job.step(pos);
+    let label = step.label.as_ref();
+    let within = |max: u16| job.placed_on(pos.0, name) < usize::from(max);
+    info.service == job.queue.service
+        && label.is_none_or(|label| info.labels.contains(label))
         && step.max_per_worker.is_none_or(within)
 }
 
--- a/crates/masticcross-jobs/src/scheduler/table.rs
+++ b/crates/masticcross-jobs/src/scheduler/table.rs
@@ -48,6 +48,8 @@
     Waiting,
     /// The task can be placed from the given time on.
     Delayed(Instant),
+    /// The task waits for a worker near its data, although it could run elsewhere.
+    AwaitingPlace,
     /// The task was sent to the given worker and may run there.
     Running(Name),
     /// The task may run at an unreachable worker until the given time.
@@ -67,6 +69,8 @@
     pub failures: u32,
     /// Workers on which the task failed.
     pub avoid: SmallVec<[Name; 2]>,
+    /// Since when the task has waited for a worker near its data, until it is sent.
+    pub place_wait_since: Option<Instant>,
 }
 
 /// A job that has not ended.
@@ -88,6 +92,8 @@
     pub runs: u32,
     /// Runs that were lost, stalled, stopped or failed.
     pub bad_runs: u32,
+    /// Longest time for which a task waited for a worker near its data.
+    pub place_wait: Duration,
     /// Tasks of each step.
     tasks: Vec<Vec<Task>>,
     /// Number of tasks that are not done.
@@ -112,6 +118,7 @@
             first_sent: None,
             runs: 0,
             bad_runs: 0,
+            place_wait: Duration::ZERO,
             tasks,
             open,
         }
@@ -263,6 +270,22 @@
         Duration::from_millis(longest.into())
     }
 
+    /// Returns the expected time from the start of a step to the end of the job.
+    #[must_use]
+    pub fn chain_from(&self, step: u16) -> Duration {
+        let steps = &self.request.steps;
+        let mut chains: SmallVec<[u64; 4]> = steps.iter().map(|s| s.expected_ms.into()).collect();
+        for later in (0..steps.len()).rev() {
+            for earlier in &steps[later].after {
+                let earlier = usize::from(*earlier);
+                let chain = u64::from(steps[earlier].expected_ms) + chains[later];
+                chains[earlier] = chains[earlier].max(chain);
+            }
+        }
+        let chain = chains.get(usize::from(step)).copied();
+        Duration::from_millis(chain.unwrap_or_default())
+    }
+
     /// Returns the latest start of the remaining tasks at which the answer is of use.
     #[must_use]
     pub fn latest_useful_start(&self) -> Instant {
@@ -340,6 +363,7 @@
         run: 0,
         failures: 0,
         avoid: SmallVec::new(),
+        place_wait_since: None,
     };
     vec![task; usize::from(step.count)]
 }
--- a/crates/masticcross-jobs/src/scheduler/tests.rs
+++ b/crates/masticcross-jobs/src/scheduler/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the scheduler.
 
 mod crashes;
+mod place_wait;
 
 use std::collections::BTreeSet;
 use std::time::Duration;
--- a/crates/masticcross-jobs/tests/locality/play.rs
+++ b/crates/masticcross-jobs/tests/locality/play.rs
@@ -114,7 +114,11 @@
     play.outcomes
 }
 
-fn configure(_: &mut Scheduler, _: Option<f64>) {}
+fn configure(scheduler: &mut Scheduler, configured: Option<f64>) {
+    if let Some(factor) = configured {
+        scheduler.set_remote_factor(factor);
+    }
+}
 
 impl Play {
     fn at(&mut self, ms: u64, event: Event) {
--- a/crates/masticcross-timeline/src/explain.rs
+++ b/crates/masticcross-timeline/src/explain.rs
@@ -75,6 +75,8 @@
     CallersLeft,
     /// It was late because a run was lost, stalled or failed.
     LateRerun,
+    /// It was late after a task had waited for a worker near its data.
+    LatePlaceWait,
     /// It was late because it waited for free resources.
     LateWaiting,
     /// It was late although it started without a long wait.
@@ -95,6 +97,7 @@
             Self::TaskFailed => "failed: a task failed too often",
             Self::CallersLeft => "stopped: callers left or cancelled",
             Self::LateRerun => "late: a run had to be repeated",
+            Self::LatePlaceWait => "late: waited for a worker near its data",
             Self::LateWaiting => "late: waited for room",
             Self::LateRun => "late: ran long",
         }
@@ -121,6 +124,9 @@
             ("stopped", _) => Self::CallersLeft,
             _ if took <= objective => Self::InTime,
             _ if line.number("bad_runs") > 0 => Self::LateRerun,
+            _ if line.number("place_wait_ms") * 2 > took.saturating_sub(objective) => {
+                Self::LatePlaceWait
+            }
             _ if line.number("first_run_ms") * 2 > took.saturating_sub(objective) => {
                 Self::LateWaiting
             }
--- a/crates/masticcross-timeline/tests/explain.rs
+++ b/crates/masticcross-timeline/tests/explain.rs
@@ -37,3 +37,16 @@
         [(Cause::NoCapacity, 1), (Cause::LateRerun, 1)]
     );
 }
+
+#[test]
+fn a_job_late_after_a_wait_for_a_worker_near_its_data_is_explained() {
+    let cause = |wait: u64| {
+        let line = format!(
+            r#"entry-1 {{"message": "job ended", "outcome": "completed", "code": "0", "took_ms": "300",
+            "objective_ms": "250", "first_run_ms": "40", "bad_runs": "0", "place_wait_ms": "{wait}"}}"#
+        );
+        LogLine::parse(&line).and_then(|line| Cause::from_line(&line))
+    };
+    assert_eq!(cause(40), Some(Cause::LatePlaceWait));
+    assert_eq!(cause(0), Some(Cause::LateWaiting));
+}
