Take the kinds of workers into account in the placement

Cause: a worker that is twice as slow as the mean counts as degraded and gets one run at a time, and a task goes to a slow worker on which its job ends late, also if a fast one is free some milliseconds later.

Change: the baseline speed of a worker (from its runs, at first from the workers with the label that explains a difference in speed) is separate from degradation (recent runs relative to its baseline). Only a degraded worker is limited. Estimates are corrected by queue. A task waits for a fast worker if its job would end late on the free ones. Metrics show the workers that differ most, log lines the changes.

At the capacity, jobs of the least urgent queue still wait for fast workers in vain.

--- a/crates/masticcross-jobs/src/scheduler/mod.rs
+++ b/crates/masticcross-jobs/src/scheduler/mod.rs
@@ -9,6 +9,7 @@
 //! - `ends`: handling of the ends of runs.
 //! - `closing`: ends of jobs.
 //! - `crashes`: crashes of workers.
+//! - `speeds`: speeds of the workers.
 //! - `operator_view`: the operators' settings, and their exchange with agents.
 //!
 //! This module does no I/O and never blocks. Methods take the current time and queue [`Effect`]s,
@@ -23,6 +24,7 @@
 mod operator_view;
 pub mod place_wait;
 mod placement;
+mod speeds;
 pub mod table;
 pub mod worker;
 
@@ -42,6 +44,7 @@
 use crate::crashes::confinement::Confinement;
 use crate::crashes::log::CrashLog;
 use crate::crashes::suspects::Suspects;
+use crate::estimates::Estimates;
 use crate::failure_attribution::FailureAttribution;
 use crate::job::{JobOutcome, JobRequest};
 use crate::run_times::RunTimes;
@@ -52,6 +55,8 @@
 use locality::Locality;
 pub use locality::PlaceWaits;
 pub use operator_view::ViewStatus;
+pub use speeds::OutlyingWorker;
+use speeds::Speeds;
 use table::{Job, JobNumber, TaskPos, TaskState, Urgency};
 use worker::Worker;
 
@@ -107,6 +112,8 @@
     next_job: JobNumber,
     /// Ratios of actual to expected run times. A ratio of 1 is stored as one second.
     ratios: RunTimes,
+    estimates: Estimates,
+    speeds: Speeds,
     failure_attribution: FailureAttribution<JobNumber, Name>,
     crash_log: CrashLog,
     suspects: Suspects,
@@ -138,6 +145,8 @@
             ranks: FxHashMap::default(),
             next_job: 1,
             ratios: RunTimes::default(),
+            estimates: Estimates::default(),
+            speeds: Speeds::default(),
             failure_attribution: FailureAttribution::default(),
             crash_log: CrashLog::default(),
             suspects: Suspects::default(),
@@ -205,7 +214,8 @@
         let number = self.next_job;
         self.next_job += 1;
         let id = request.id.clone();
-        let job = Job::new(request, queue, arrived);
+        let mut job = Job::new(request, queue, arrived);
+        job.time_factor = self.estimates.factor(&job.queue.name);
         let view = self.view_status(now);
         log::info!(
             job:% = id, queue:% = job.queue.name, tasks = job.tasks().count(),
@@ -348,6 +358,7 @@
         self.fetch_view(now);
         self.suspects.remove_old(now);
         self.confinement.relax(now);
+        self.refresh_speeds(now);
         let numbers: Vec<JobNumber> = self.jobs.keys().copied().collect();
         for number in numbers {
             self.release_delayed_tasks(number, now);
--- a/crates/masticcross-jobs/src/scheduler/placement.rs
+++ b/crates/masticcross-jobs/src/scheduler/placement.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, Bound};
 use std::sync::Arc;
+use std::time::Duration;
 
 use masticcross_basics::Name;
 use masticcross_wire::crash::Isolation;
@@ -11,14 +12,18 @@
 
 use crate::crashes::confinement::{Limit, Place};
 use crate::crashes::suspects::Verdict;
+use crate::worker_choice::{self, Choice, Need, Offer};
 
 use super::table::{Job, JobNumber, TaskPos, TaskState, Urgency};
-use super::worker::load;
+use super::worker::{Worker, load};
 use super::{Effect, Scheduler};
 
 /// Jobs skipped for lack of resources before the search ends.
 const MAX_SKIPPED_JOBS: usize = 8;
 
+/// Jobs held for a later start before the search ends.
+const MAX_HELD_JOBS: usize = 64;
+
 /// Cost factor of a worker that is far from the task's data, without the setting `remote_factor`.
 const REMOTE_DATA_FACTOR: f64 = 1.5;
 
@@ -50,7 +55,8 @@
     NoRoom,
     /// The workers that are left to the job's confined queue have no room for one of the tasks.
     QueueFull,
-    /// A suspect waits until it may start. This does not concern other jobs.
+    /// A suspect waits until it may start, or a task for a faster worker. This does not concern other
+    /// jobs.
     Held,
 }
 
@@ -62,11 +68,11 @@
         }
         let mut candidates = self.candidates(now);
         let mut run_requests: BTreeMap<Name, Vec<RunRequest>> = BTreeMap::new();
-        let mut skipped = 0;
+        let (mut skipped, mut held) = (0, 0);
         let mut full_queues: SmallVec<[Name; 2]> = SmallVec::new();
         let mut next = self.waiting.first().copied();
         while let Some(rank) = next {
-            if candidates.is_empty() || skipped >= MAX_SKIPPED_JOBS {
+            if candidates.is_empty() || skipped >= MAX_SKIPPED_JOBS || held >= MAX_HELD_JOBS {
                 break;
             }
             let number = rank.2;
@@ -76,7 +82,8 @@
                 .is_some_and(|queue| full_queues.contains(queue))
             {
                 match self.place_job(number, &mut candidates, &mut run_requests, now) {
-                    Placed::All | Placed::Held => {}
+                    Placed::All => {}
+                    Placed::Held => held += 1,
                     Placed::NoRoom => skipped += 1,
                     Placed::QueueFull => full_queues.extend(queue),
                 }
@@ -115,8 +122,13 @@
                 placed = Placed::Held;
                 continue;
             }
-            let Some(chosen) = self.choose(number, pos, conditions, candidates) else {
-                match conditions {
+            let chosen = match self.choose(number, pos, conditions, candidates, now) {
+                Choice::Take(chosen) => chosen,
+                Choice::Wait => {
+                    placed = Placed::Held;
+                    continue;
+                }
+                Choice::NoRoom => match conditions {
                     Conditions {
                         isolation: Isolation::Shared,
                         limit: None,
@@ -129,7 +141,7 @@
                         placed = Placed::Held;
                         continue;
                     }
-                }
+                },
             };
             let name = candidates[chosen].name.clone();
             let may_wait = conditions.isolation == Isolation::Shared && conditions.limit.is_none();
@@ -200,7 +212,7 @@
             return Vec::new();
         };
         let places = self.places(now);
-        let candidate = |worker: &super::worker::Worker| {
+        let candidate = |worker: &Worker| {
             let info = worker.info.as_ref()?;
             worker.session?;
             if info.leaving || view.zones_out.contains(&info.zone) {
@@ -220,28 +232,53 @@
         self.workers.values().filter_map(candidate).collect()
     }
 
-    /// Returns the index of the best worker for a task. Workers on which the task failed come last.
+    /// Chooses the best worker for a task. Workers on which the task failed come last.
     fn choose(
         &self,
         number: JobNumber,
         pos: TaskPos,
         conditions: Conditions,
         candidates: &[Candidate],
-    ) -> Option<usize> {
-        let job = self.jobs.get(&number)?;
-        let task = job.task(pos)?;
-        let fits = |c: &&(usize, &Candidate)| accepts(job, pos, conditions, c.1);
-        let rated = candidates.iter().enumerate().collect::<Vec<_>>();
-        let rated = rated.iter().filter(fits).map(|(index, candidate)| {
-            let avoided = task.avoid.contains(&candidate.name);
-            let cost = match conditions.isolation {
+        now: Instant,
+    ) -> Choice {
+        let Some(job) = self.jobs.get(&number) else {
+            return Choice::NoRoom;
+        };
+        let avoid = job.task(pos).map_or(&[][..], |task| &task.avoid);
+        let fits = |c: &(usize, &Candidate)| accepts(job, pos, conditions, c.1);
+        let fitting: Vec<_> = candidates.iter().enumerate().filter(fits).collect();
+        let offer = |(_, candidate): &(usize, &Candidate)| Offer {
+            avoided: avoid.contains(&candidate.name),
+            cost: match conditions.isolation {
                 Isolation::Shared | Isolation::Spaced => self.rate(job, pos, candidate),
                 Isolation::Alone => load(candidate.info.capacity, candidate.free),
-            };
-            (avoided, cost, *index)
-        });
-        let best = rated.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-        best.map(|(_, _, index)| index)
+            },
+            factor: self
+                .workers
+                .get(&candidate.name)
+                .map_or(1.0, Worker::slowness),
+        };
+        let offers: Vec<Offer> = fitting.iter().map(offer).collect();
+        let need = self.need(job, pos, conditions, now);
+        match worker_choice::choose(&offers, need, self.fleet(&job.queue.service)) {
+            Choice::Take(chosen) => Choice::Take(fitting[chosen].0),
+            choice => choice,
+        }
+    }
+
+    fn need(&self, job: &Job, pos: TaskPos, conditions: Conditions, now: Instant) -> Need {
+        let step = job.step(pos);
+        let is_free = conditions.isolation == Isolation::Shared && conditions.limit.is_none();
+        let factor = self.estimates.factor(&job.queue.name);
+        Need {
+            run: Duration::from_millis(step.expected_ms.into()).mul_f64(factor),
+            left: job.due().saturating_duration_since(now),
+            tasks: u16::try_from(job.waiting().len()).unwrap_or(u16::MAX),
+            may_wait: is_free
+                && step.label.is_none()
+                && step.data_label.is_none()
+                && step.max_per_worker.is_none(),
+        }
     }
 
     fn rate(&self, job: &Job, pos: TaskPos, candidate: &Candidate) -> f64 {
