Check uneven workers against the stated target

Cause: the bounds of the play of uneven workers were set just below measured figures.

Change: the target is checked: no job is late or refused that a slow worker with free capacity would have ended in time. For even workers the decisions are checked (no worker counts as uneven or degraded; a property: without a kind and a degraded worker the cost decides), for the degraded worker the limits: at most one run at a time after 8 slow ones, and no longer limited after as many good ones. The number of 8 for the restoration is that of the detection.

--- a/crates/masticcross-jobs/src/worker_choice/tests.rs
+++ b/crates/masticcross-jobs/src/worker_choice/tests.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use quickcheck::QuickCheck;
+
 use super::{Choice, Fleet, Need, Offer, choose};
 
 const UNEVEN: Fleet = Fleet {
@@ -57,3 +59,29 @@
     a_worker_on_which_the_task_failed_comes_last:
         [Offer { avoided: true, ..offer(0.7, 0.1) }, offer(1.7, 2.0)], need(100, 300), UNEVEN => Choice::Take(1);
 }
+
+/// Guards against placements that change although no worker is of another kind or degraded.
+#[test]
+fn among_workers_of_similar_speed_the_cost_decides() {
+    fn property(offers: Vec<(bool, u16, u8)>, run_ms: u16, left_ms: u16, tasks: u16) -> bool {
+        let fleet = Fleet {
+            fastest: 1.0,
+            slowest: 1.29,
+        };
+        let offer = |(avoided, cost, factor): (bool, u16, u8)| Offer {
+            avoided,
+            cost: f64::from(cost),
+            factor: 1.0 + f64::from(factor % 30) / 100.0,
+        };
+        let by_cost = (0..offers.len()).min_by_key(|i| (offers[*i].0, offers[*i].1));
+        let offers: Vec<Offer> = offers.into_iter().map(offer).collect();
+        let need = Need {
+            tasks,
+            ..need(run_ms.into(), left_ms.into())
+        };
+        choose(&offers, need, fleet) == by_cost.map_or(Choice::NoRoom, Choice::Take)
+    }
+    QuickCheck::new()
+        .tests(1_000)
+        .quickcheck(property as fn(Vec<(bool, u16, u8)>, u16, u16, u16) -> bool);
+}
--- a/crates/masticcross-jobs/tests/uneven.rs
+++ b/crates/masticcross-jobs/tests/uneven.rs
@@ -4,7 +4,7 @@
 #[path = "uneven/play.rs"]
 mod play;
 
-use play::{Outcomes, Speeds, play};
+use play::{MAX_SLOW_RUNS, Outcomes, Speeds, play};
 
 /// Defines one test per load: speeds, the load relative to what the workers can do, and a check of the
 /// sums over seeds 1 to 3.
@@ -23,33 +23,21 @@
     };
 }
 
-// The numbers before the speeds of kinds were known are in the comments.
 loads! {
-    // Guards against jobs that end late on slow workers: 2,589 in time, 12 missed.
-    a_slow_kind_costs_no_job_at_60_percent: Speeds::ByKind, 0.6, |sums| {
-        assert!(sums.in_time >= 2_600 && sums.missed == 0, "{sums:?}");
-    };
-    // 3,383 in time, 54 missed.
-    a_slow_kind_costs_few_jobs_at_80_percent: Speeds::ByKind, 0.8, |sums| {
-        assert!(sums.in_time >= 3_440 && sums.missed <= 10, "{sums:?}");
-    };
-    // 4,121 in time, 140 missed.
-    a_slow_kind_costs_fewer_jobs_at_the_capacity: Speeds::ByKind, 1.0, |sums| {
-        assert!(sums.in_time >= 4_170 && sums.missed <= 90, "{sums:?}");
-    };
-    // Guards against harm to even workers: 2,952 and 3,517 in time.
-    even_workers_serve_as_many_at_80_percent: Speeds::Even, 0.8, |sums| {
-        assert!(sums.in_time >= 2_950, "{sums:?}");
-    };
-    even_workers_serve_as_many_at_the_capacity: Speeds::Even, 1.0, |sums| {
-        assert!(sums.in_time >= 3_510, "{sums:?}");
-    };
-    // 2,436 in time.
-    similar_workers_serve_as_many: Speeds::Similar, 0.8, |sums| {
-        assert!(sums.in_time >= 2_436, "{sums:?}");
-    };
-    // Guards against a degraded worker that costs the callers more than its capacity: 3,368 in time.
+    // Guards against jobs that are late or refused while a slow worker that would end them in time has
+    // free capacity.
+    slow_workers_miss_no_job_at_60_percent: Speeds::ByKind, 0.6, |sums| assert_eq!(sums.missed, 0);
+    slow_workers_miss_no_job_at_80_percent: Speeds::ByKind, 0.8, |sums| assert_eq!(sums.missed, 0);
+    slow_workers_miss_no_job_at_the_capacity: Speeds::ByKind, 1.0, |sums| assert_eq!(sums.missed, 0);
+    // Guards against placements that change although the workers are even or similar. The choice among
+    // such workers is checked in `worker_choice`.
+    even_workers_stay_even_at_80_percent: Speeds::Even, 0.8, |sums| assert_eq!(sums.outlying, 0);
+    even_workers_stay_even_at_the_capacity: Speeds::Even, 1.0, |sums| assert_eq!(sums.outlying, 0);
+    similar_workers_stay_even: Speeds::Similar, 0.8, |sums| assert_eq!(sums.outlying, 0);
+    // Guards against a degraded worker that gets more than one run at a time after 8 slow ones, and one
+    // that stays limited after as many good ones.
     a_degraded_worker_is_limited: Speeds::OneDegrades, 1.0, |sums| {
-        assert!(sums.in_time >= 3_420, "{sums:?}");
+        assert_eq!(sums.beside, 0);
+        assert!(sums.until_restored <= MAX_SLOW_RUNS, "{sums:?}");
     };
 }
--- a/crates/masticcross-jobs/tests/uneven/play.rs
+++ b/crates/masticcross-jobs/tests/uneven/play.rs
@@ -1,6 +1,7 @@
 //! A scheduler with simulated workers of different speeds, in virtual time.
 
 use std::collections::BTreeMap;
+use std::ops::Range;
 use std::time::Duration;
 
 use masticcross_basics::Name;
@@ -23,6 +24,10 @@
 const TICK_MS: u64 = 20;
 const TARGET_MS: u32 = 60;
 
+/// When the first worker is degraded, and the runs within which it must be found.
+const DEGRADED_MS: Range<u64> = 4_000..8_000;
+pub const MAX_SLOW_RUNS: usize = 8;
+
 /// Spread of run times (standard deviation of the logarithm), and the tail: the share of tasks that
 /// take longer, and by which factor.
 const SPREAD: f64 = 0.4;
@@ -87,8 +92,13 @@
     pub impossible: usize,
     /// Late or refused jobs that slow workers with free capacity would have ended in time.
     pub missed: usize,
-    /// Runs of the first worker that were started in each second.
-    pub first_worker: BTreeMap<u64, usize>,
+    /// Runs that were started beside another one on the degraded worker, after `MAX_SLOW_RUNS` slow
+    /// ones had ended there.
+    pub beside: usize,
+    /// Runs that ended on the worker that works again until it got two at a time.
+    pub until_restored: usize,
+    /// Workers that were not taken for even ones at the end.
+    pub outlying: usize,
     /// In time and not, by kind.
     pub by_kind: [(usize, usize); 4],
 }
@@ -100,6 +110,9 @@
         self.refused += other.refused;
         self.impossible += other.impossible;
         self.missed += other.missed;
+        self.beside += other.beside;
+        self.until_restored = self.until_restored.max(other.until_restored);
+        self.outlying += other.outlying;
     }
 }
 
@@ -135,6 +148,9 @@
     received: [u64; WORKERS],
     open: BTreeMap<JobNumber, OpenJob>,
     numbers: BTreeMap<Name, JobNumber>,
+    /// Runs that ended on the first worker, started while it was degraded.
+    slow_runs: usize,
+    is_restored: bool,
     outcomes: Outcomes,
 }
 
@@ -152,6 +168,8 @@
         received: [0; WORKERS],
         open: BTreeMap::new(),
         numbers: BTreeMap::new(),
+        slow_runs: 0,
+        is_restored: false,
         outcomes: Outcomes::default(),
     };
     let queues = (0..KINDS.len()).map(queue).collect();
@@ -164,6 +182,7 @@
     play.schedule_arrivals(load);
     play.at(0, Event::Tick);
     play.run();
+    play.outcomes.outlying = play.scheduler.outlying_workers().len();
     play.outcomes
 }
 
@@ -174,7 +193,7 @@
 impl Play {
     fn factor(&self, worker: usize) -> f64 {
         match self.speeds {
-            Speeds::OneDegrades if worker == 0 && (4_000..8_000).contains(&self.now_ms) => 5.0,
+            Speeds::OneDegrades if worker == 0 && DEGRADED_MS.contains(&self.now_ms) => 5.0,
             Speeds::Even | Speeds::OneDegrades => 1.0,
             Speeds::Similar => {
                 1.0 + 0.3 * f64::from(u8::try_from(worker * 7 % WORKERS).expect("few")) / 14.0
@@ -341,16 +360,12 @@
     }
 
     fn start(&mut self, worker: usize, run: RunRequest) {
+        if worker == 0 {
+            self.note_first_worker();
+        }
         self.used[worker] += 1;
         assert!(self.used[worker] <= SLOTS);
         self.received[worker] += 1;
-        if worker == 0 {
-            *self
-                .outcomes
-                .first_worker
-                .entry(self.now_ms / 1_000)
-                .or_default() += 1;
-        }
         let number = self.numbers[&run.id.task.job];
         let job = self.open.get_mut(&number).expect("an open job");
         let time = job.waiting[usize::from(run.id.task.index)]
@@ -367,8 +382,31 @@
         );
     }
 
+    /// Notes a start on the worker that degrades.
+    fn note_first_worker(&mut self) {
+        let is_beside = self.used[0] > 0;
+        if DEGRADED_MS.contains(&self.now_ms) {
+            let is_found = self.slow_runs >= MAX_SLOW_RUNS;
+            self.outcomes.beside += usize::from(is_found && is_beside);
+        } else if self.now_ms >= DEGRADED_MS.end {
+            self.is_restored |= is_beside;
+        }
+    }
+
+    /// Notes the end of a run on the worker that degrades.
+    fn note_end(&mut self, started_ms: u64) {
+        if DEGRADED_MS.contains(&started_ms) {
+            self.slow_runs += 1;
+        } else if started_ms >= DEGRADED_MS.end && !self.is_restored {
+            self.outcomes.until_restored += 1;
+        }
+    }
+
     fn end(&mut self, worker: usize, run: RunRequest, took_ms: u64) {
         self.used[worker] = self.used[worker].saturating_sub(1);
+        if worker == 0 {
+            self.note_end(self.now_ms - took_ms);
+        }
         let end = RunEnd {
             id: run.id,
             result: RunResult::Done,
