Weigh the wait for a fast worker against the chance on a slow one

Cause: a task waited for a fast worker as long as its job was likely to be late on the free ones, also behind many others.

Change: a task waits while its job's chance on a fast worker, after the tasks of its priority that wait already, is better than on the free one, or while its chance there is below the inverse ratio of the run times. The expected wait is that of the starts on fast workers that were left to its priority or less urgent ones. Tasks with a data label do not wait for a fast worker; they may wait for a place.

--- a/crates/masticcross-jobs/src/scheduler/placement.rs
+++ b/crates/masticcross-jobs/src/scheduler/placement.rs
@@ -66,6 +66,7 @@
         if self.waiting.is_empty() {
             return;
         }
+        self.speeds.begin_pass();
         let mut candidates = self.candidates(now);
         let mut run_requests: BTreeMap<Name, Vec<RunRequest>> = BTreeMap::new();
         let (mut skipped, mut held) = (0, 0);
@@ -114,6 +115,7 @@
             return Placed::All;
         };
         let mut placed = Placed::All;
+        let mut waits_for_speed = 0;
         for pos in job.waiting() {
             let Some(conditions) = self.conditions(number, pos) else {
                 break;
@@ -125,6 +127,7 @@
             let chosen = match self.choose(number, pos, conditions, candidates, now) {
                 Choice::Take(chosen) => chosen,
                 Choice::Wait => {
+                    waits_for_speed += 1;
                     placed = Placed::Held;
                     continue;
                 }
@@ -165,6 +168,11 @@
             log::debug!(run:% = run_request.id, worker:% = name, waited_ms = waited(&self.jobs[&number], now); "run sent");
             run_requests.entry(name).or_default().push(run_request);
         }
+        if waits_for_speed > 0
+            && let Some(job) = self.jobs.get(&number)
+        {
+            self.speeds.add_waiting(&job.queue, waits_for_speed);
+        }
         placed
     }
 
@@ -260,7 +268,7 @@
         };
         let offers: Vec<Offer> = fitting.iter().map(offer).collect();
         let need = self.need(job, pos, conditions, now);
-        match worker_choice::choose(&offers, need, self.fleet(&job.queue.service)) {
+        match worker_choice::choose(&offers, need, self.speeds.fleet(&job.queue.service)) {
             Choice::Take(chosen) => Choice::Take(fitting[chosen].0),
             choice => choice,
         }
@@ -269,15 +277,16 @@
     fn need(&self, job: &Job, pos: TaskPos, conditions: Conditions, now: Instant) -> Need {
         let step = job.step(pos);
         let is_free = conditions.isolation == Isolation::Shared && conditions.limit.is_none();
+        let may_wait = is_free
+            && step.label.is_none()
+            && step.data_label.is_none()
+            && step.max_per_worker.is_none();
         let factor = self.estimates.factor(&job.queue.name);
         Need {
             run: Duration::from_millis(step.expected_ms.into()).mul_f64(factor),
             left: job.due().saturating_duration_since(now),
             tasks: u16::try_from(job.waiting().len()).unwrap_or(u16::MAX),
-            may_wait: is_free
-                && step.label.is_none()
-                && step.data_label.is_none()
-                && step.max_per_worker.is_none(),
+            wait: may_wait.then(|| self.speeds.expected_wait(&job.queue)),
         }
     }
 
@@ -323,6 +332,7 @@
             late,
         };
         let worker = self.workers.get_mut(worker)?;
+        self.speeds.add_start(&job.queue, worker.slowness());
         let name = worker.name.clone();
         worker.record_sent(&run_request, now);
         self.record_place(number, pos, &name, now);
--- a/crates/masticcross-jobs/src/scheduler/speeds.rs
+++ b/crates/masticcross-jobs/src/scheduler/speeds.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use masticcross_basics::Name;
+use masticcross_wire::pool::Queue;
 use tokio::time::Instant;
 
 use crate::worker_choice::Fleet;
@@ -30,14 +31,78 @@
     pub degraded: bool,
 }
 
+/// Weight of the last interval in the rate of starts.
+const RATE_WEIGHT: f64 = 0.25;
+
+/// Least rate of starts, in 1/s.
+const MIN_RATE: f64 = 0.001;
+
+/// Starts on fast workers.
+#[derive(Debug, Clone, Copy, Default)]
+struct Starts {
+    in_interval: u32,
+    per_second: f64,
+}
+
 /// Speeds of the workers, by service.
 #[derive(Debug, Default)]
 pub struct Speeds {
     kinds: BTreeMap<Name, Kinds>,
     fleets: BTreeMap<Name, Fleet>,
+    /// By service and priority.
+    starts: BTreeMap<(Name, u32), Starts>,
+    /// Tasks that wait for a fast worker, as found in the present pass over the waiting jobs.
+    waiting: BTreeMap<(Name, u32), u32>,
     refreshed: Option<Instant>,
 }
 
+impl Speeds {
+    /// Begins a pass over the waiting jobs.
+    pub(super) fn begin_pass(&mut self) {
+        self.waiting.clear();
+    }
+
+    /// Adds tasks that wait for a fast worker.
+    pub(super) fn add_waiting(&mut self, queue: &Queue, tasks: u32) {
+        let key = (queue.service.clone(), queue.priority);
+        *self.waiting.entry(key).or_default() += tasks;
+    }
+
+    /// Adds a start on a worker with the given factor.
+    pub(super) fn add_start(&mut self, queue: &Queue, factor: f64) {
+        if self.fleet(&queue.service).is_fast(factor) {
+            let key = (queue.service.clone(), queue.priority);
+            self.starts.entry(key).or_default().in_interval += 1;
+        }
+    }
+
+    /// Returns the expected wait of a queue's task for a fast worker: the tasks of its priority that wait
+    /// already, at the rate of the starts that were left to this priority or less urgent ones.
+    pub(super) fn expected_wait(&self, queue: &Queue) -> Duration {
+        let key = (queue.service.clone(), queue.priority);
+        let waiting = self.waiting.get(&key).copied().unwrap_or(0);
+        let left = self.starts.range(key..=(queue.service.clone(), u32::MAX));
+        let rate: f64 = left.map(|(_, starts)| starts.per_second).sum();
+        let secs = f64::from(waiting) / rate.max(MIN_RATE);
+        Duration::from_secs_f64(secs)
+    }
+
+    /// Returns the speeds of the workers of a service.
+    pub(super) fn fleet(&self, service: &Name) -> Fleet {
+        self.fleets.get(service).copied().unwrap_or_default()
+    }
+
+    fn measure_starts(&mut self) {
+        for starts in self.starts.values_mut() {
+            let started = f64::from(std::mem::take(&mut starts.in_interval));
+            let rate = started / KINDS_INTERVAL.as_secs_f64();
+            starts.per_second += (rate - starts.per_second) * RATE_WEIGHT;
+        }
+        self.starts
+            .retain(|_, starts| starts.per_second >= MIN_RATE);
+    }
+}
+
 impl Scheduler {
     /// Adds the ratio of a run time to the caller's estimate to the speed of the worker and the ratio of
     /// the queue.
@@ -79,6 +144,7 @@
             self.speeds.refreshed = Some(now);
             self.find_kinds();
             self.measure_fleets();
+            self.speeds.measure_starts();
         }
     }
 
@@ -151,11 +217,6 @@
         workers.truncate(MAX_OUTLYING);
         workers
     }
-
-    /// Returns the speeds of the workers of a service.
-    pub(super) fn fleet(&self, service: &Name) -> Fleet {
-        self.speeds.fleets.get(service).copied().unwrap_or_default()
-    }
 }
 
 fn log_new_kinds(service: &Name, earlier: Option<&Kinds>, kinds: &Kinds) {
--- a/crates/masticcross-jobs/src/worker_choice.rs
+++ b/crates/masticcross-jobs/src/worker_choice.rs
@@ -1,6 +1,6 @@
 //! Choice of a worker among those that have room for a task. It answers a load on workers that differ
-//! in speed: a task goes to a worker on which its job ends in time, and waits for a fast one while it
-//! would end late on the free ones.
+//! in speed: a task goes to a worker on which its job ends in time, and waits for a fast one while its
+//! chance is better there, after the tasks of its priority that wait already.
 //!
 //! In simulations, two further rules did not help: that jobs which end in time on slow workers leave the
 //! fast ones to others while these are getting full, and a latest start for the fastest workers.
@@ -21,6 +21,9 @@
 const LONGEST_WEIGHT: f64 = 0.4;
 const DEVIATION: f64 = 0.4;
 
+/// Factor by which a logistic distribution is closest to the normal one.
+const LOGISTIC: f64 = 1.702;
+
 /// A worker with room for a task.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Offer {
@@ -41,8 +44,8 @@
     pub left: Duration,
     /// Tasks of the job that wait.
     pub tasks: u16,
-    /// True if the task may wait for a faster worker.
-    pub may_wait: bool,
+    /// Expected wait for a fast worker, or `None` if the task may not wait.
+    pub wait: Option<Duration>,
 }
 
 impl Need {
@@ -55,6 +58,25 @@
         let margin = MARGIN * (DEVIATION * LONGEST_WEIGHT * longest).exp();
         self.has_chance(factor * margin)
     }
+
+    /// Returns the chance that the job ends in time if its tasks start after a wait.
+    fn chance(&self, factor: f64, wait: Duration) -> f64 {
+        let left = self.left.saturating_sub(wait).as_secs_f64();
+        let run = self.run.mul_f64(factor).as_secs_f64();
+        // Approximates the normal distribution by the logistic one.
+        let task = 1.0 / (1.0 + (left / run).powf(-LOGISTIC / DEVIATION));
+        task.powi(self.tasks.into())
+    }
+
+    /// Returns true if the task waits for a fast worker instead of taking one with the given factor. At a
+    /// chance below the inverse ratio of the run times, the capacity serves more jobs on other tasks.
+    fn waits(&self, factor: f64, fleet: Fleet) -> bool {
+        let Some(wait) = self.wait else {
+            return false;
+        };
+        let chance = self.chance(factor, Duration::ZERO);
+        chance < self.chance(fleet.fastest, wait) || chance < fleet.fastest / factor
+    }
 }
 
 /// Speeds of the workers of a service that work as usual.
@@ -82,7 +104,9 @@
         self.slowest >= self.fastest * UNEVEN
     }
 
-    fn is_fast(&self, factor: f64) -> bool {
+    /// Returns true if a worker with the given factor is one of the fast ones.
+    #[must_use]
+    pub fn is_fast(&self, factor: f64) -> bool {
         factor < self.fastest * UNEVEN
     }
 }
@@ -92,7 +116,7 @@
 pub enum Choice {
     /// The offer with this index.
     Take(usize),
-    /// The task waits for a fast worker, as its job may end in time there, but not on the free ones.
+    /// The task waits for a fast worker, where its chance is better than on the free ones.
     Wait,
     /// No worker has room.
     NoRoom,
@@ -105,7 +129,8 @@
         return cheapest(offers, |_| false);
     }
     let is_late = |offer: &Offer| !fleet.is_fast(offer.factor) && !need.ends_in_time(offer.factor);
-    if need.may_wait && !offers.is_empty() && offers.iter().all(is_late) {
+    let waits = |offer: &Offer| is_late(offer) && need.waits(offer.factor, fleet);
+    if !offers.is_empty() && offers.iter().all(waits) {
         return Choice::Wait;
     }
     cheapest(offers, is_late)
--- a/crates/masticcross-jobs/src/worker_choice/tests.rs
+++ b/crates/masticcross-jobs/src/worker_choice/tests.rs
@@ -24,7 +24,7 @@
         run: Duration::from_millis(run_ms),
         left: Duration::from_millis(left_ms),
         tasks: 1,
-        may_wait: true,
+        wait: Some(Duration::ZERO),
     }
 }
 
@@ -52,7 +52,12 @@
     a_wide_job_needs_more_time_on_slow_workers:
         [offer(1.7, 1.0)], Need { tasks: 8, ..need(100, 300) }, UNEVEN => Choice::Wait;
     a_job_that_may_not_wait_takes_any_worker:
-        [offer(1.7, 1.0)], Need { may_wait: false, ..need(100, 200) }, UNEVEN => Choice::Take(0);
+        [offer(1.7, 1.0)], Need { wait: None, ..need(100, 200) }, UNEVEN => Choice::Take(0);
+    // Guards against waits in vain behind other tasks.
+    a_job_with_a_fair_chance_takes_a_slow_worker_if_the_wait_is_long:
+        [offer(1.7, 1.0)], Need { wait: Some(Duration::from_millis(150)), ..need(100, 200) }, UNEVEN => Choice::Take(0);
+    a_job_with_a_poor_chance_leaves_the_slow_worker_to_others:
+        [offer(1.7, 1.0)], Need { wait: Some(Duration::from_millis(100)), ..need(100, 150) }, UNEVEN => Choice::Wait;
     a_full_service_has_no_room:
         [], need(100, 200), UNEVEN => Choice::NoRoom;
     // Guards against a repeated failure on the same worker.
