Check that the degraded worker is found and restored in each play

Change: the play notes whether the worker is found within 8 runs and whether it gets two runs at a time again. The restoration has a test of its own.

--- a/crates/masticcross-jobs/tests/uneven.rs
+++ b/crates/masticcross-jobs/tests/uneven.rs
@@ -34,10 +34,14 @@
     even_workers_stay_even_at_80_percent: Speeds::Even, 0.8, |sums| assert_eq!(sums.outlying, 0);
     even_workers_stay_even_at_the_capacity: Speeds::Even, 1.0, |sums| assert_eq!(sums.outlying, 0);
     similar_workers_stay_even: Speeds::Similar, 0.8, |sums| assert_eq!(sums.outlying, 0);
-    // Guards against a degraded worker that gets more than one run at a time after 8 slow ones, and one
-    // that stays limited after as many good ones.
+    // Guards against a degraded worker that is not found within 8 runs, or gets more than one at a time
+    // after these.
     a_degraded_worker_is_limited: Speeds::OneDegrades, 1.0, |sums| {
-        assert_eq!(sums.beside, 0);
+        assert_eq!((sums.found, sums.beside), (3, 0));
+    };
+    // Guards against a worker that works again and stays limited.
+    a_worker_that_works_again_is_restored: Speeds::OneDegrades, 1.0, |sums| {
+        assert_eq!(sums.restored, 3);
         assert!(sums.until_restored <= MAX_SLOW_RUNS, "{sums:?}");
     };
 }
--- a/crates/masticcross-jobs/tests/uneven/play.rs
+++ b/crates/masticcross-jobs/tests/uneven/play.rs
@@ -97,6 +97,10 @@
     pub beside: usize,
     /// Runs that ended on the worker that works again until it got two at a time.
     pub until_restored: usize,
+    /// Plays in which the degraded worker was found within `MAX_SLOW_RUNS` runs.
+    pub found: usize,
+    /// Plays in which it got two runs at a time again.
+    pub restored: usize,
     /// Workers that were not taken for even ones at the end.
     pub outlying: usize,
     /// In time and not, by kind.
@@ -112,6 +116,8 @@
         self.missed += other.missed;
         self.beside += other.beside;
         self.until_restored = self.until_restored.max(other.until_restored);
+        self.found += other.found;
+        self.restored += other.restored;
         self.outlying += other.outlying;
     }
 }
@@ -150,6 +156,7 @@
     numbers: BTreeMap<Name, JobNumber>,
     /// Runs that ended on the first worker, started while it was degraded.
     slow_runs: usize,
+    is_found: bool,
     is_restored: bool,
     outcomes: Outcomes,
 }
@@ -169,6 +176,7 @@
         open: BTreeMap::new(),
         numbers: BTreeMap::new(),
         slow_runs: 0,
+        is_found: false,
         is_restored: false,
         outcomes: Outcomes::default(),
     };
@@ -182,6 +190,8 @@
     play.schedule_arrivals(load);
     play.at(0, Event::Tick);
     play.run();
+    play.outcomes.found = usize::from(play.is_found);
+    play.outcomes.restored = usize::from(play.is_restored);
     play.outcomes.outlying = play.scheduler.outlying_workers().len();
     play.outcomes
 }
@@ -397,6 +407,9 @@
     fn note_end(&mut self, started_ms: u64) {
         if DEGRADED_MS.contains(&started_ms) {
             self.slow_runs += 1;
+            let workers = self.scheduler.outlying_workers();
+            let is_degraded = workers.iter().any(|w| w.degraded && w.name == name(0));
+            self.is_found |= is_degraded && self.slow_runs <= MAX_SLOW_RUNS;
         } else if started_ms >= DEGRADED_MS.end && !self.is_restored {
             self.outcomes.until_restored += 1;
         }
@@ -404,9 +417,6 @@
 
     fn end(&mut self, worker: usize, run: RunRequest, took_ms: u64) {
         self.used[worker] = self.used[worker].saturating_sub(1);
-        if worker == 0 {
-            self.note_end(self.now_ms - took_ms);
-        }
         let end = RunEnd {
             id: run.id,
             result: RunResult::Done,
@@ -415,6 +425,9 @@
         self.announce(worker);
         self.scheduler
             .ended(&name(worker), session(worker), &[end], self.now());
+        if worker == 0 {
+            self.note_end(self.now_ms - took_ms);
+        }
     }
 
     fn announce(&mut self, worker: usize) {
