Consider only changed workers for jobs that found no room

Cause: each announcement of free resources, end of a run and submission rebuilt the list of all workers that can get runs, and compared each of the first waiting jobs with all of them. The check for jobs without a chance rebuilt the list for each such job. Log lines and failures iterated over all workers.

Change: `scheduler::workers` keeps the workers, their totals and the candidates for runs, and updates them for workers that were accessed for a change and for those whose limit changes with time alone (quarantine, pause, ramp). Each update has a stamp. A job remembers the stamp at which no worker had room for a step, and only workers that changed later are considered for it. A new operator view and a confined queue make all remembered results invalid. The cost of a worker is computed at its update. Among workers of equal cost the first by name is chosen; before, it depended on the order of removals from a list.

What is left are the walks over all jobs in a tick and at a submission, and the comparison with all workers for a task that is placed at once.

Cause: each tick iterated over all jobs, each submission over all waiting jobs and their tasks, and each frame of an agent caused a search for room: the end of a run and the free resources that follow it caused two.

Change: - `scheduler::jobs` keeps the CPU of all runs and, in an ordered set, the time at which each job needs attention. A tick touches only the jobs that are due. While a queue is confined it touches all, as before. - Waiting jobs have their work, their priority and whether they may have run beside their rank.

--- a/crates/masticcross-jobs/src/entry.rs
+++ b/crates/masticcross-jobs/src/entry.rs
@@ -12,6 +12,7 @@
 use masticcross_wire::{Dialer, Frame, Hello, Incarnation, Link, PROTOCOL_VERSION, Refusal, Role};
 use parking_lot::Mutex;
 use rustc_hash::FxHashMap;
+use smallvec::{SmallVec, smallvec};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
@@ -32,6 +33,10 @@
 /// Maximum wait for the first frame of a session.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Maximum number of frames of a session that are handled together. It bounds the time for which other
+/// sessions and callers wait.
+const MAX_BATCH: usize = 64;
+
 /// Interval of the scheduler's ticks.
 const TICK: Duration = Duration::from_millis(20);
 
@@ -371,9 +376,14 @@
     ) -> SessionEnd {
         loop {
             match timeout(SESSION_TIMEOUT, link.rx.recv()).await {
-                Ok(Some(Frame::Pool(frame))) => self.handle(agent, session, frame),
-                Ok(Some(other)) => {
-                    log::warn!(session, frame = other.kind(); "unexpected frame");
+                Ok(Some(first)) => {
+                    let mut frames: SmallVec<[Frame; 4]> = smallvec![first];
+                    while frames.len() < MAX_BATCH
+                        && let Ok(frame) = link.rx.try_recv()
+                    {
+                        frames.push(frame);
+                    }
+                    self.handle_batch(agent, session, frames);
                 }
                 Ok(None) => return SessionEnd::Closed,
                 Err(_) => return SessionEnd::Silent,
@@ -384,8 +394,29 @@
         }
     }
 
-    fn handle(&self, agent: &Name, session: SessionId, frame: PoolFrame) {
-        self.with_state(|state, now| match frame {
+    /// Handles frames that arrived together. Waiting tasks are placed once, after the last frame.
+    fn handle_batch(&self, agent: &Name, session: SessionId, frames: SmallVec<[Frame; 4]>) {
+        self.with_state(|state, now| {
+            state.scheduler.hold_placement();
+            for frame in frames {
+                match frame {
+                    Frame::Pool(frame) => self.handle(state, agent, session, frame, now),
+                    other => log::warn!(session, frame = other.kind(); "unexpected frame"),
+                }
+            }
+            state.scheduler.resume_placement(now);
+        });
+    }
+
+    fn handle(
+        &self,
+        state: &mut State,
+        agent: &Name,
+        session: SessionId,
+        frame: PoolFrame,
+        now: Instant,
+    ) {
+        match frame {
             PoolFrame::Probe(probe) => state.send(session, PoolFrame::Echo(probe)),
             PoolFrame::Worker(info) => {
                 state.scheduler.worker_changed(agent, session, info, now);
@@ -416,7 +447,7 @@
             | PoolFrame::Echo(_)
             | PoolFrame::Run(_)
             | PoolFrame::Stop(_) => {}
-        });
+        }
     }
 }
 
--- a/crates/masticcross-jobs/src/scheduler/admission.rs
+++ b/crates/masticcross-jobs/src/scheduler/admission.rs
@@ -192,6 +192,14 @@
         Some(Duration::from_millis(wait_ms))
     }
 
+    /// Returns true if [`Self::allows_start_by`] is certain for a start within the given time. This needs
+    /// no division, as it is asked for each waiting job at each submission.
+    #[must_use]
+    pub fn surely_allows_start_within(&self, longest_ms: u64) -> bool {
+        const { assert!(USABLE_WAIT_SHARE > 0.5) };
+        self.ahead <= self.share_cpu.saturating_mul(longest_ms / 2)
+    }
+
     /// Returns true if a job may start by the given time.
     #[must_use]
     pub fn allows_start_by(&self, latest: Instant, now: Instant) -> bool {
--- a/crates/masticcross-jobs/src/scheduler/closing.rs
+++ b/crates/masticcross-jobs/src/scheduler/closing.rs
@@ -12,9 +12,8 @@
 use crate::supervisor::clients::AUTHORITY_TIMEOUT;
 
 use super::admission::{Backlog, Work, share_cpu};
-use super::table::{Job, JobNumber, TaskPos, TaskState};
-use super::worker::Worker;
-use super::{Effect, LOST_CONTACT_TIMEOUT, Scheduler};
+use super::table::{Job, JobNumber, TaskPos, TaskState, Urgency};
+use super::{Effect, LOST_CONTACT_TIMEOUT, Scheduler, ms_between};
 
 impl Scheduler {
     /// Abandons a job whose deadline has passed or that can no longer end in time.
@@ -78,6 +77,7 @@
         if !self.saturation.update(jobs_wait, now) {
             return;
         }
+        self.refresh_candidates(now);
         let hopeless = self.find_hopeless_jobs(now);
         for (number, retry_after) in hopeless {
             if let Some(job) = self.jobs.get(&number) {
@@ -93,63 +93,109 @@
         if self.confinement.is_empty() {
             return !self.waiting.is_empty();
         }
-        let is_unconfined = |(_, _, number): &(_, _, JobNumber)| {
-            let job = self.jobs.get(number);
-            job.is_some_and(|job| self.confinement.limit(&job.queue.name).is_none())
-        };
-        self.waiting.iter().any(is_unconfined)
+        self.waiting.keys().any(|rank| !self.is_confined(rank.2))
+    }
+
+    fn is_confined(&self, number: JobNumber) -> bool {
+        if self.confinement.is_empty() {
+            return false;
+        }
+        let job = self.jobs.get(&number);
+        job.is_none_or(|job| self.confinement.limit(&job.queue.name).is_some())
     }
 
     /// Returns the waiting jobs without a chance to be in time, and when their callers should return.
     /// Jobs of a service without a worker in contact are left to another refusal, after which their
     /// callers try another entry.
     fn find_hopeless_jobs(&self, now: Instant) -> Vec<(JobNumber, Duration)> {
+        if self.all_surely_have_a_chance(now) {
+            return Vec::new();
+        }
         let share_cpu = self.recent_share.highest();
         let mut ahead: Work = 0;
         let mut hopeless = Vec::new();
-        for (_, _, number) in &self.waiting {
-            let Some(job) = self.jobs.get(number) else {
-                continue;
-            };
-            if self.confinement.limit(&job.queue.name).is_some() {
+        let now_ms = self.first_job_at.map_or(0, |first| ms_between(first, now)) + 1;
+        let mut priority = None;
+        let mut backlog = Backlog::default();
+        for (&(_, latest_start, number), waiting) in &self.waiting {
+            if self.is_confined(number) {
                 continue;
             }
-            let overtaking = self.arrivals.cpu_before(job.queue.priority, now);
-            let backlog = Backlog { ahead, share_cpu }.overtaken_by(overtaking);
-            let latest_start = job.latest_start().unwrap_or(now);
-            let has_chance = job.may_have_run()
+            if priority.replace(waiting.priority) != Some(waiting.priority) {
+                let overtaking_cpu = self.arrivals.cpu_before(waiting.priority, now);
+                backlog = Backlog { ahead, share_cpu }.overtaken_by(overtaking_cpu);
+            }
+            backlog.ahead = ahead;
+            let has_chance = waiting.may_have_run
+                || backlog
+                    .surely_allows_start_within(waiting.latest_start_ms.saturating_sub(now_ms))
                 || backlog.allows_start_by(latest_start, now)
-                || !self.serves(&job.queue.service)
-                || self.has_room_for(job, now);
+                || self.may_start_elsewhere_or_now(number, now);
             if has_chance {
-                ahead = ahead.saturating_add(job.waiting_work());
+                ahead = ahead.saturating_add(waiting.work);
             } else {
-                hopeless.push((*number, backlog.retry_after(*number)));
+                hopeless.push((number, backlog.retry_after(number)));
             }
         }
         hopeless
     }
 
+    /// Returns true if each waiting job could surely start in time after the work of all others. This
+    /// looks at one job of each urgency, the one with the earliest latest start.
+    fn all_surely_have_a_chance(&self, now: Instant) -> bool {
+        let Some(first_job_at) = self.first_job_at else {
+            return true;
+        };
+        let now_ms = ms_between(first_job_at, now) + 1;
+        let backlog = Backlog {
+            ahead: u64::try_from(self.waiting_work).unwrap_or(u64::MAX),
+            share_cpu: self.recent_share.highest(),
+        };
+        let backlog = backlog.overtaken_by(self.arrivals.cpu_before(u32::MAX, now));
+        let mut urgency = Urgency::InTime(0);
+        loop {
+            // No latest start is before the first job.
+            let mut from = self.waiting.range((urgency, first_job_at, 0)..);
+            let Some(((Urgency::InTime(priority), ..), first)) = from.next() else {
+                return self
+                    .waiting
+                    .last_key_value()
+                    .is_none_or(|(rank, _)| rank.0 != Urgency::Late);
+            };
+            let longest_ms = first.latest_start_ms.saturating_sub(now_ms);
+            if !backlog.surely_allows_start_within(longest_ms) {
+                return false;
+            }
+            urgency = priority
+                .checked_add(1)
+                .map_or(Urgency::Late, Urgency::InTime);
+        }
+    }
+
+    fn may_start_elsewhere_or_now(&self, number: JobNumber, now: Instant) -> bool {
+        let job = self.jobs.get(&number);
+        job.is_none_or(|job| !self.serves(&job.queue.service) || self.has_room_for(job, now))
+    }
+
     /// Returns what delays a job: the waiting tasks of the jobs before it, or of all jobs if it does
     /// not wait itself.
     fn backlog_of(&self, number: JobNumber) -> Backlog {
         let rank = self.ranks.get(&number);
-        let before = self.waiting.iter().take_while(|other| Some(*other) != rank);
-        let jobs = before.filter_map(|(_, _, number)| self.jobs.get(number));
+        let waiting = self.waiting.iter();
+        let before = waiting.take_while(|(other, _)| Some(*other) != rank);
+        let work = before.map(|(_, waiting)| waiting.work);
         Backlog {
-            ahead: jobs.map(Job::waiting_work).fold(0, u64::saturating_add),
+            ahead: work.fold(0, u64::saturating_add),
             share_cpu: self.recent_share.highest(),
         }
     }
 
     /// Records the entry's present share of the workers.
     fn record_share(&mut self, now: Instant) {
-        let running = self.jobs.values().map(Job::running_cpu);
-        let running = running.fold(0, u64::saturating_add);
-        let usable = self.workers.values().filter_map(|w| w.info.as_ref());
-        let usable = usable.filter(|info| !info.leaving);
-        let usable = usable.map(|info| info.capacity.cpu);
-        let usable = usable.fold(0, u64::saturating_add);
+        self.jobs.refresh();
+        let running = self.jobs.running_cpu();
+        let usable = self.workers.totals().usable_cpu;
+        let usable = u64::try_from(usable).unwrap_or(u64::MAX);
         self.recent_share.add(share_cpu(running, usable), now);
     }
 
@@ -157,12 +203,11 @@
         let Some(job) = self.jobs.get(&number) else {
             return;
         };
-        let free_cpu = self.workers.values().map(|worker| worker.free().cpu);
-        let free_cpu = free_cpu.fold(0, u64::saturating_add);
+        let workers = self.workers.totals();
         log::info!(
             job:% = job.request.id, waited_ms = now.saturating_duration_since(job.arrived).as_millis(),
             objective_ms = job.objective.as_millis(), began = job.may_have_run(), late = job.is_late(now),
-            usable_workers = self.gauges().workers, free_cpu,
+            usable_workers = workers.usable, free_cpu = workers.free_cpu,
             jobs_waiting = self.waiting.len(), outcome:?;
             "job given up"
         );
@@ -189,8 +234,7 @@
 
     /// Returns true if there is a usable worker for a service.
     pub(super) fn serves(&self, service: &Name) -> bool {
-        let usable = |w: &Worker| w.info.as_ref().is_some_and(|i| i.service == *service);
-        self.workers.values().any(usable)
+        self.workers.serve(service)
     }
 
     pub(super) fn remove_job(&mut self, number: JobNumber) {
@@ -198,9 +242,7 @@
             return;
         };
         self.by_id.remove(&job.request.id);
-        if let Some(rank) = self.ranks.remove(&number) {
-            self.waiting.remove(&rank);
-        }
+        self.unrank(number);
         let mut by_worker: BTreeMap<Name, Vec<RunId>> = BTreeMap::new();
         for (worker, run) in job.placed() {
             by_worker.entry(worker).or_default().push(run);
--- a/crates/masticcross-jobs/src/scheduler/crashes.rs
+++ b/crates/masticcross-jobs/src/scheduler/crashes.rs
@@ -153,6 +153,11 @@
             .collect();
         let suspects = &self.suspects;
         job.ran |= tasks.iter().any(|task| suspects.crashes_under(task) > 0);
+        let may_have_run = job.may_have_run();
+        let rank = self.ranks.get(&number);
+        if let Some(waiting) = rank.and_then(|rank| self.waiting.get_mut(rank)) {
+            waiting.may_have_run = may_have_run;
+        }
         let mut verdicts = tasks.iter().map(|task| suspects.verdict(task));
         let unstartable = verdicts.find(|v| matches!(v, Verdict::Cause | Verdict::Exhausted));
         if let Some(verdict) = unstartable {
--- a/crates/masticcross-jobs/src/scheduler/ends.rs
+++ b/crates/masticcross-jobs/src/scheduler/ends.rs
@@ -26,14 +26,13 @@
 impl Scheduler {
     /// Marks the runs at an agent as unreachable.
     pub(super) fn mark_unreachable(&mut self, name: &Name, now: Instant) {
-        for job in self.jobs.values_mut() {
-            let running: Vec<TaskPos> = job
-                .tasks()
-                .filter(|(_, task)| task.state == TaskState::Running(name.clone()))
-                .map(|(pos, _)| pos)
-                .collect();
+        let state = TaskState::Running(name.clone());
+        for number in self.jobs.numbers() {
+            let running = self.jobs[&number].tasks().filter(|(_, t)| t.state == state);
+            let running: Vec<TaskPos> = running.map(|(pos, _)| pos).collect();
             for pos in running {
-                if let Some(task) = job.task_mut(pos) {
+                let job = self.jobs.get_mut(&number);
+                if let Some(task) = job.and_then(|job| job.task_mut(pos)) {
                     task.state = TaskState::Unreachable(name.clone(), now + LOST_CONTACT_TIMEOUT);
                 }
             }
@@ -45,7 +44,8 @@
     /// process of the agent. They are marked as lost.
     pub(super) fn reconcile_runs(&mut self, name: &Name, running: &[RunId], now: Instant) {
         let mut missing = Vec::new();
-        for job in self.jobs.values_mut() {
+        for number in self.jobs.numbers() {
+            let job = &self.jobs[&number];
             let placed_run = |(pos, task): (TaskPos, &super::table::Task)| match &task.state {
                 TaskState::Running(worker) | TaskState::Unreachable(worker, _)
                     if worker == name =>
@@ -56,9 +56,10 @@
             };
             let placed: Vec<(TaskPos, u32)> = job.tasks().filter_map(placed_run).collect();
             for (pos, run) in placed {
-                let run = job.run_id(pos, run);
+                let run = self.jobs[&number].run_id(pos, run);
                 if running.contains(&run) {
-                    if let Some(task) = job.task_mut(pos) {
+                    let job = self.jobs.get_mut(&number);
+                    if let Some(task) = job.and_then(|job| job.task_mut(pos)) {
                         task.state = TaskState::Running(name.clone());
                     }
                 } else {
@@ -113,10 +114,10 @@
             worker.running = worker.running.saturating_sub(1);
         }
         let started = !matches!(end.result, RunResult::NotStarted(_));
-        self.jobs.entry(number).and_modify(|job| {
+        if let Some(job) = self.jobs.get_mut(&number) {
             job.ran |= started;
             job.bad_runs += u32::from(started && end.result != RunResult::Done);
-        });
+        }
         if end.result == RunResult::NotStarted(NotStartedReason::NoRoom) {
             // Logged at debug level because there are too many under overload; metrics count them.
             log::debug!(run:% = end.id, worker:% = name; "run refused for lack of resources");
@@ -255,9 +256,8 @@
     /// Returns true if one more worker may be quarantined. At least half of the usable workers always
     /// stay in service.
     fn may_quarantine_worker(&self) -> bool {
-        let usable = self.workers.values().filter(|w| w.info.is_some());
-        let quarantined = usable.clone().filter(|w| w.health.is_quarantined()).count();
-        (quarantined + 1) * 2 <= usable.count()
+        let workers = self.workers.totals();
+        (workers.quarantined + 1) * 2 <= workers.present
     }
 
     /// Records failures that count against a worker.
--- a/crates/masticcross-jobs/src/scheduler/mod.rs
+++ b/crates/masticcross-jobs/src/scheduler/mod.rs
@@ -19,17 +19,19 @@
 mod closing;
 mod crashes;
 mod ends;
+mod jobs;
 mod locality;
 mod operator_view;
 pub mod place_wait;
 mod placement;
 pub mod table;
 pub mod worker;
+mod workers;
 
 #[cfg(test)]
 mod tests;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use masticcross_basics::{Code, Name};
@@ -48,12 +50,14 @@
 use crate::view::encoded::EncodedView;
 use crate::view::fetch::ViewFetch;
 
-use admission::{ArrivalRates, RecentShare, Saturation};
+use admission::{ArrivalRates, RecentShare, Saturation, Work};
+use jobs::Jobs;
 use locality::Locality;
 pub use locality::PlaceWaits;
 pub use operator_view::ViewStatus;
 use table::{Job, JobNumber, TaskPos, TaskState, Urgency};
 use worker::Worker;
+use workers::Workers;
 
 /// Session number, unique in this process.
 pub type SessionId = u64;
@@ -93,17 +97,41 @@
 /// in time.
 type Rank = (Urgency, Instant, JobNumber);
 
+/// Whether waiting tasks are placed with each change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Placement {
+    Immediate,
+    /// Several changes are being applied. Tasks are placed after the last one, if `due`.
+    Held {
+        due: bool,
+    },
+}
+
+/// What admission needs of a waiting job.
+#[derive(Debug, Clone, Copy)]
+struct WaitingJob {
+    priority: u32,
+    /// CPU time of its tasks that wait.
+    work: Work,
+    may_have_run: bool,
+    /// Its latest start, in milliseconds after the scheduler's first job, rounded down.
+    latest_start_ms: u64,
+}
+
 /// State machine that schedules the jobs of an entry.
 pub struct Scheduler {
-    zone: Name,
     view: Option<OperatorView>,
     /// When the last complete read of the operators' records ended.
     view_confirmed_at: Option<Instant>,
-    workers: BTreeMap<Name, Worker>,
-    jobs: BTreeMap<JobNumber, Job>,
+    workers: Workers,
+    jobs: Jobs,
     by_id: FxHashMap<Name, JobNumber>,
-    waiting: BTreeSet<Rank>,
+    waiting: BTreeMap<Rank, WaitingJob>,
+    /// Work of all waiting jobs.
+    waiting_work: u128,
     ranks: FxHashMap<JobNumber, Rank>,
+    first_job_at: Option<Instant>,
+    placement: Placement,
     next_job: JobNumber,
     /// Ratios of actual to expected run times. A ratio of 1 is stored as one second.
     ratios: RunTimes,
@@ -128,14 +156,16 @@
     #[must_use]
     pub fn new(zone: Name) -> Self {
         Self {
-            zone,
             view: None,
             view_confirmed_at: None,
-            workers: BTreeMap::new(),
-            jobs: BTreeMap::new(),
+            workers: Workers::new(zone),
+            jobs: Jobs::default(),
             by_id: FxHashMap::default(),
-            waiting: BTreeSet::new(),
+            waiting: BTreeMap::new(),
+            waiting_work: 0,
             ranks: FxHashMap::default(),
+            first_job_at: None,
+            placement: Placement::Immediate,
             next_job: 1,
             ratios: RunTimes::default(),
             failure_attribution: FailureAttribution::default(),
@@ -161,11 +191,10 @@
     /// Returns the values of the gauges.
     #[must_use]
     pub fn gauges(&self) -> SchedulerGauges {
-        let usable = |w: &&Worker| w.info.as_ref().is_some_and(|info| !info.leaving);
         SchedulerGauges {
             jobs: self.jobs.len(),
             waiting: self.waiting.len(),
-            workers: self.workers.values().filter(usable).count(),
+            workers: self.workers.totals().usable,
             confined_queues: self.confinement.len(),
             place_waits: self.locality.counts,
         }
@@ -213,7 +242,7 @@
             patience_ms = job.request.deadline.saturating_duration_since(now).as_millis(),
             orders_position = view.position, config_version = view.config_version,
             view_age_ms = view.age_ms(),
-            usable_workers = self.gauges().workers, jobs_waiting = self.waiting.len();
+            usable_workers = self.workers.totals().usable, jobs_waiting = self.waiting.len();
             "job taken"
         );
         self.arrivals
@@ -256,7 +285,7 @@
             worker.open(incarnation, session, now);
         } else {
             let worker = Worker::new(name.clone(), incarnation, session, now);
-            self.workers.insert(name.clone(), worker);
+            self.workers.insert(worker);
         }
         self.place_changed(name, now);
         self.choose_view_keepers();
@@ -282,6 +311,19 @@
         self.place(now);
     }
 
+    /// Delays the placement of waiting tasks until [`Self::resume_placement`].
+    pub fn hold_placement(&mut self) {
+        self.placement = Placement::Held { due: false };
+    }
+
+    /// Places waiting tasks if a change since [`Self::hold_placement`] requires it.
+    pub fn resume_placement(&mut self, now: Instant) {
+        let held = std::mem::replace(&mut self.placement, Placement::Immediate);
+        if held == (Placement::Held { due: true }) {
+            self.place(now);
+        }
+    }
+
     /// Applies the state of a worker as sent by its agent.
     pub fn worker_changed(
         &mut self,
@@ -320,7 +362,7 @@
 
     /// Applies the runs that an agent reports for this entry when a session opens.
     pub fn resumed(&mut self, name: &Name, session: SessionId, resume: &Resume, now: Instant) {
-        if self.worker_of(name, session).is_none() {
+        if !self.is_current(name, session) {
             return;
         }
         for end in &resume.ended {
@@ -334,7 +376,7 @@
 
     /// Applies ends of runs.
     pub fn ended(&mut self, name: &Name, session: SessionId, ends: &[RunEnd], now: Instant) {
-        if self.worker_of(name, session).is_none() {
+        if !self.is_current(name, session) {
             return;
         }
         for end in ends {
@@ -348,8 +390,13 @@
         self.fetch_view(now);
         self.suspects.remove_old(now);
         self.confinement.relax(now);
-        let numbers: Vec<JobNumber> = self.jobs.keys().copied().collect();
-        for number in numbers {
+        let due = if self.confinement.is_empty() {
+            self.jobs.due(now)
+        } else {
+            // A job of a confined queue is refused as soon as the workers left to it are down.
+            self.jobs.numbers()
+        };
+        for number in due {
             self.release_delayed_tasks(number, now);
             self.abandon_if_too_late(number, now);
         }
@@ -384,28 +431,50 @@
             .ok_or_else(|| Refusal::not_run(Code::UnknownService, "no such queue is configured"))
     }
 
+    fn is_current(&self, name: &Name, session: SessionId) -> bool {
+        let worker = self.workers.get(name);
+        worker.is_some_and(|worker| worker.session == Some(session))
+    }
+
     fn worker_of(&mut self, name: &Name, session: SessionId) -> Option<&mut Worker> {
-        let worker = self.workers.get_mut(name)?;
-        (worker.session == Some(session)).then_some(worker)
+        if !self.is_current(name, session) {
+            return None;
+        }
+        self.workers.get_mut(name)
     }
 
     /// Updates the position of a job among those that wait, or removes it if no task waits.
     fn rank(&mut self, number: JobNumber, now: Instant) {
-        if let Some(rank) = self.ranks.remove(&number) {
-            self.waiting.remove(&rank);
-        }
-        let Some(job) = self.jobs.get(&number) else {
+        self.unrank(number);
+        let Some(job) = self.jobs.get_mut(&number) else {
             return;
         };
+        job.ranked_with = Some((job.runs, job.ran));
+        job.ranked_in_time = false;
         if !job.tasks().any(|(_, t)| t.state == TaskState::Waiting) {
             return;
         }
         let latest_start = job.latest_start().unwrap_or(now);
         let rank = (job.urgency(now), latest_start, number);
-        self.waiting.insert(rank);
+        job.ranked_in_time = matches!(rank.0, Urgency::InTime(_));
+        let waiting = WaitingJob {
+            priority: job.queue.priority,
+            work: job.waiting_work(),
+            may_have_run: job.may_have_run(),
+            latest_start_ms: ms_between(*self.first_job_at.get_or_insert(now), latest_start),
+        };
+        self.waiting_work += u128::from(waiting.work);
+        self.waiting.insert(rank, waiting);
         self.ranks.insert(number, rank);
     }
 
+    fn unrank(&mut self, number: JobNumber) {
+        let rank = self.ranks.remove(&number);
+        if let Some(waiting) = rank.and_then(|rank| self.waiting.remove(&rank)) {
+            self.waiting_work -= u128::from(waiting.work);
+        }
+    }
+
     /// Makes tasks available for placement again once their delay has passed or their unreachable run
     /// is confirmed gone.
     fn release_delayed_tasks(&mut self, number: JobNumber, now: Instant) {
@@ -426,9 +495,9 @@
                 job.ran = true;
                 job.bad_runs += 1;
                 log::info!(job:% = job.request.id, worker:%; "run is lost with its agent");
-                self.workers.entry(worker).and_modify(|w| {
-                    w.running = w.running.saturating_sub(1);
-                });
+                if let Some(worker) = self.workers.get_mut(&worker) {
+                    worker.running = worker.running.saturating_sub(1);
+                }
             }
             if let Some(task) = job.task_mut(*pos) {
                 task.state = TaskState::Waiting;
@@ -442,3 +511,8 @@
         }
     }
 }
+
+fn ms_between(from: Instant, to: Instant) -> u64 {
+    let ms = to.saturating_duration_since(from).as_millis();
+    u64::try_from(ms).unwrap_or(u64::MAX)
+}
--- a/crates/masticcross-jobs/src/scheduler/operator_view.rs
+++ b/crates/masticcross-jobs/src/scheduler/operator_view.rs
@@ -68,6 +68,7 @@
         self.view = Some(view);
         self.encoded_view = None;
         self.locality.recheck = true;
+        self.workers.invalidate();
         let sessions: Vec<SessionId> = self.workers.values().filter_map(|w| w.session).collect();
         for session in sessions {
             self.announce_view(session);
--- a/crates/masticcross-jobs/src/scheduler/placement.rs
+++ b/crates/masticcross-jobs/src/scheduler/placement.rs
@@ -1,11 +1,10 @@
 //! Choice of tasks and workers.
 
 use std::collections::{BTreeMap, Bound};
-use std::sync::Arc;
 
 use masticcross_basics::Name;
 use masticcross_wire::crash::Isolation;
-use masticcross_wire::pool::{PoolFrame, Resources, RunRequest, WorkerInfo};
+use masticcross_wire::pool::{PoolFrame, RunRequest, WorkerInfo};
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
@@ -14,32 +13,32 @@
 
 use super::table::{Job, JobNumber, TaskPos, TaskState, Urgency};
 use super::worker::load;
-use super::{Effect, Scheduler};
+use super::workers::Candidate;
+use super::{Effect, Placement, Rank, Scheduler};
 
 /// Jobs skipped for lack of resources before the search ends.
 const MAX_SKIPPED_JOBS: usize = 8;
 
+/// Changes of workers after which a job that still has no room remembers the latest one.
+const MAX_REMEMBERED_CHANGES: u64 = 8;
+
 /// Cost factor of a worker that is far from the task's data, without the setting `remote_factor`.
 const REMOTE_DATA_FACTOR: f64 = 1.5;
 
-/// A worker that can get runs now.
-struct Candidate {
-    name: Name,
-    info: Arc<WorkerInfo>,
-    free: Resources,
-    slots: u32,
-    /// Position among the workers of the service, if a queue is confined.
-    place: Option<Place>,
-    /// True if a run that may not start close to another such run can start now.
-    takes_spaced: bool,
-}
-
 /// What a task requires of a worker beside resources.
 #[derive(Debug, Clone, Copy)]
-struct Conditions {
+pub(super) struct Conditions {
     isolation: Isolation,
     /// Limit of the task's queue, if it is confined.
     limit: Option<Limit>,
+    now: Instant,
+}
+
+impl Conditions {
+    /// Returns true if only resources and the state of the workers decide where the task can run.
+    fn are_usual(&self) -> bool {
+        self.isolation == Isolation::Shared && self.limit.is_none()
+    }
 }
 
 /// Result of an attempt to place the waiting tasks of a job.
@@ -57,34 +56,29 @@
 impl Scheduler {
     /// Places waiting tasks as long as there are free resources.
     pub(super) fn place(&mut self, now: Instant) {
+        if let Placement::Held { due } = &mut self.placement {
+            *due = true;
+            return;
+        }
         if self.waiting.is_empty() {
             return;
         }
-        let mut candidates = self.candidates(now);
+        self.refresh_candidates(now);
         let mut run_requests: BTreeMap<Name, Vec<RunRequest>> = BTreeMap::new();
         let mut skipped = 0;
         let mut full_queues: SmallVec<[Name; 2]> = SmallVec::new();
-        let mut next = self.waiting.first().copied();
+        let mut next = self.waiting.keys().next().copied();
         while let Some(rank) = next {
-            if candidates.is_empty() || skipped >= MAX_SKIPPED_JOBS {
+            if !self.workers.has_candidates() || skipped >= MAX_SKIPPED_JOBS {
                 break;
             }
-            let number = rank.2;
-            let queue = self.jobs.get(&number).map(|job| job.queue.name.clone());
-            if !queue
-                .as_ref()
-                .is_some_and(|queue| full_queues.contains(queue))
-            {
-                match self.place_job(number, &mut candidates, &mut run_requests, now) {
-                    Placed::All | Placed::Held => {}
-                    Placed::NoRoom => skipped += 1,
-                    Placed::QueueFull => full_queues.extend(queue),
-                }
+            match self.place_unless_full(rank.2, &mut full_queues, &mut run_requests, now) {
+                Placed::All | Placed::Held | Placed::QueueFull => {}
+                Placed::NoRoom => skipped += 1,
             }
-            // Ranks the job among those before the next one if its first task has just been sent.
-            self.rank(number, now);
+            self.rank_after_placement(rank, now);
             let after = (Bound::Excluded(rank), Bound::Unbounded);
-            next = self.waiting.range(after).next().copied();
+            next = self.waiting.range(after).next().map(|(rank, _)| *rank);
         }
         for (name, run_requests) in run_requests {
             let session = self.workers.get(&name).and_then(|worker| worker.session);
@@ -95,11 +89,42 @@
         }
     }
 
+    /// Ranks a job again if it has started, or if it can no longer be in time.
+    fn rank_after_placement(&mut self, rank: Rank, now: Instant) {
+        let job = self.jobs.get(&rank.2);
+        let changed = job.is_none_or(|job| job.ranked_with != Some((job.runs, job.ran)));
+        if changed || is_now_late(rank, now) {
+            self.rank(rank.2, now);
+        }
+    }
+
+    /// Places the waiting tasks of a job, unless it is known that there is no room for the first one.
+    fn place_unless_full(
+        &mut self,
+        number: JobNumber,
+        full_queues: &mut SmallVec<[Name; 2]>,
+        run_requests: &mut BTreeMap<Name, Vec<RunRequest>>,
+        now: Instant,
+    ) -> Placed {
+        if self.still_has_no_room(number, now) {
+            return Placed::NoRoom;
+        }
+        let queue = self.jobs.get(&number).map(|job| job.queue.name.clone());
+        let is_full = |queue: &Name| full_queues.contains(queue);
+        if queue.as_ref().is_some_and(is_full) {
+            return Placed::QueueFull;
+        }
+        let placed = self.place_job(number, run_requests, now);
+        if matches!(placed, Placed::QueueFull) {
+            full_queues.extend(queue);
+        }
+        placed
+    }
+
     /// Places the waiting tasks of a job.
     fn place_job(
         &mut self,
         number: JobNumber,
-        candidates: &mut Vec<Candidate>,
         run_requests: &mut BTreeMap<Name, Vec<RunRequest>>,
         now: Instant,
     ) -> Placed {
@@ -108,22 +133,25 @@
         };
         let mut placed = Placed::All;
         for pos in job.waiting() {
-            let Some(conditions) = self.conditions(number, pos) else {
+            let Some(conditions) = self.conditions(number, pos, now) else {
                 break;
             };
             if self.is_too_risky(number, pos, conditions, now) {
                 placed = Placed::Held;
                 continue;
             }
-            let Some(chosen) = self.choose(number, pos, conditions, candidates) else {
+            let Some(chosen) = self.choose(number, pos, conditions) else {
+                self.remember_no_room(number, pos, conditions);
                 match conditions {
                     Conditions {
                         isolation: Isolation::Shared,
                         limit: None,
+                        ..
                     } => return Placed::NoRoom,
                     Conditions {
                         isolation: Isolation::Shared,
                         limit: Some(_),
+                        ..
                     } => return Placed::QueueFull,
                     Conditions { .. } => {
                         placed = Placed::Held;
@@ -131,24 +159,23 @@
                     }
                 }
             };
-            let name = candidates[chosen].name.clone();
+            let name = chosen;
             let may_wait = conditions.isolation == Isolation::Shared && conditions.limit.is_none();
             if may_wait && self.wait_for_place(number, pos, &name, now) {
+                if let Some(job) = self.jobs.memory_mut(&number) {
+                    job.ranked_with = None;
+                }
                 continue;
             }
-            let candidate = &mut candidates[chosen];
             let Some(run_request) = self.send(number, pos, conditions.isolation, &name, now) else {
                 continue;
             };
-            candidate.free = candidate.free.minus(run_request.resources);
-            candidate.slots -= 1;
-            match conditions.isolation {
-                Isolation::Shared => {}
-                Isolation::Spaced => candidate.takes_spaced = false,
-                Isolation::Alone => candidate.slots = 0,
-            }
-            if candidate.slots == 0 {
-                candidates.swap_remove(chosen);
+            // Runs of suspects may be queued at a worker that is full.
+            let needs_cpu = self.suspects.is_empty();
+            self.workers
+                .run_sent(&name, run_request.resources, needs_cpu);
+            if conditions.isolation == Isolation::Alone {
+                self.workers.close(&name);
             }
             log::debug!(run:% = run_request.id, worker:% = name, waited_ms = waited(&self.jobs[&number], now); "run sent");
             run_requests.entry(name).or_default().push(run_request);
@@ -156,11 +183,17 @@
         placed
     }
 
-    fn conditions(&self, number: JobNumber, pos: TaskPos) -> Option<Conditions> {
+    pub(super) fn conditions(
+        &self,
+        number: JobNumber,
+        pos: TaskPos,
+        now: Instant,
+    ) -> Option<Conditions> {
         let job = self.jobs.get(&number)?;
         Some(Conditions {
             isolation: self.isolation(job, pos),
             limit: self.confinement.limit(&job.queue.name),
+            now,
         })
     }
 
@@ -183,77 +216,110 @@
 
     /// Returns true if a worker has room for a waiting task of a job.
     pub(super) fn has_room_for(&self, job: &Job, now: Instant) -> bool {
-        let waiting = job.waiting();
-        let candidates = self.candidates(now);
-        let fits = |pos: &TaskPos| {
+        let limit = self.confinement.limit(&job.queue.name);
+        let mut previous = None;
+        job.waiting().into_iter().any(|pos| {
+            let isolation = self.isolation(job, pos);
             let conditions = Conditions {
-                isolation: self.isolation(job, *pos),
-                limit: self.confinement.limit(&job.queue.name),
+                isolation,
+                limit,
+                now,
             };
-            candidates.iter().any(|c| accepts(job, *pos, conditions, c))
-        };
-        waiting.iter().any(fits)
+            // Tasks of a step differ only by their isolation.
+            let is_repeated = previous.replace((pos.0, isolation)) == Some((pos.0, isolation));
+            !is_repeated && self.options(job, pos, conditions).next().is_some()
+        })
     }
 
-    fn candidates(&self, now: Instant) -> Vec<Candidate> {
-        let Some(view) = &self.view else {
-            return Vec::new();
-        };
+    pub(super) fn refresh_candidates(&mut self, now: Instant) {
+        self.workers.refresh(self.view.as_ref(), now);
         let places = self.places(now);
-        let candidate = |worker: &super::worker::Worker| {
-            let info = worker.info.as_ref()?;
-            worker.session?;
-            if info.leaving || view.zones_out.contains(&info.zone) {
-                return None;
-            }
-            let slots = worker.slots(now);
-            let free = worker.free();
-            (slots > 0 && free.cpu > 0).then(|| Candidate {
-                name: worker.name.clone(),
-                info: info.clone(),
-                free,
-                slots,
-                place: places.get(&worker.name).copied(),
-                takes_spaced: worker.spaced_until.is_none_or(|until| until <= now),
-            })
+        self.workers.set_places(&places);
+    }
+
+    /// Returns the workers that can run a task of a job, in any order. Those that had no room for it and
+    /// have not changed since are left out unseen.
+    fn options(
+        &self,
+        job: &Job,
+        pos: TaskPos,
+        conditions: Conditions,
+    ) -> impl Iterator<Item = &Candidate> {
+        let no_room = job
+            .no_room
+            .filter(|(step, _)| *step == pos.0 && conditions.are_usual());
+        let changed = no_room.and_then(|(_, stamp)| self.workers.candidates_after(stamp));
+        let all = changed.is_none().then(|| self.workers.candidates());
+        let candidates = changed.into_iter().flatten();
+        let candidates = candidates.chain(all.into_iter().flatten());
+        candidates.filter(move |candidate| accepts(job, pos, conditions, candidate))
+    }
+
+    /// Returns true if a job found no room before, and no worker that changed since has room for it. This
+    /// is the usual case while jobs wait.
+    fn still_has_no_room(&mut self, number: JobNumber, now: Instant) -> bool {
+        if !self.suspects.is_empty() || !self.confinement.is_empty() {
+            return false;
+        }
+        let Some(job) = self.jobs.get(&number) else {
+            return false;
+        };
+        let (Some((step, stamp)), Some(pos)) = (job.no_room, job.first_waiting()) else {
+            return false;
         };
-        self.workers.values().filter_map(candidate).collect()
+        let conditions = Conditions {
+            isolation: Isolation::Shared,
+            limit: None,
+            now,
+        };
+        let no_room = step == pos.0 && self.options(job, pos, conditions).next().is_none();
+        if no_room && self.workers.stamp() > stamp + MAX_REMEMBERED_CHANGES {
+            self.remember_no_room(number, pos, conditions);
+        }
+        no_room
+    }
+
+    /// Records that no worker has room for a task, until workers change.
+    fn remember_no_room(&mut self, number: JobNumber, pos: TaskPos, conditions: Conditions) {
+        let stamp = self.workers.stamp();
+        if conditions.are_usual()
+            && let Some(job) = self.jobs.memory_mut(&number)
+        {
+            job.no_room = Some((pos.0, stamp));
+        }
     }
 
-    /// Returns the index of the best worker for a task. Workers on which the task failed come last.
-    fn choose(
+    /// Returns the best worker for a task. Workers on which the task failed come last.
+    pub(super) fn choose(
         &self,
         number: JobNumber,
         pos: TaskPos,
         conditions: Conditions,
-        candidates: &[Candidate],
-    ) -> Option<usize> {
+    ) -> Option<Name> {
         let job = self.jobs.get(&number)?;
         let task = job.task(pos)?;
-        let fits = |c: &&(usize, &Candidate)| accepts(job, pos, conditions, c.1);
-        let rated = candidates.iter().enumerate().collect::<Vec<_>>();
-        let rated = rated.iter().filter(fits).map(|(index, candidate)| {
+        let rated = self.options(job, pos, conditions).map(|candidate| {
             let avoided = task.avoid.contains(&candidate.name);
             let cost = match conditions.isolation {
                 Isolation::Shared | Isolation::Spaced => self.rate(job, pos, candidate),
                 Isolation::Alone => load(candidate.info.capacity, candidate.free),
             };
-            (avoided, cost, *index)
+            (avoided, cost, &candidate.name)
         });
-        let best = rated.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-        best.map(|(_, _, index)| index)
+        let best = rated.min_by(|a, b| {
+            let cost = || a.1.total_cmp(&b.1);
+            a.0.cmp(&b.0).then_with(cost).then_with(|| a.2.cmp(b.2))
+        });
+        best.map(|(_, _, name)| name.clone())
     }
 
+    /// Returns the placement cost of a worker for a task; lower is better.
     fn rate(&self, job: &Job, pos: TaskPos, candidate: &Candidate) -> f64 {
-        let Some(worker) = self.workers.get(&candidate.name) else {
-            return f64::INFINITY;
-        };
-        let cost = worker.cost(&self.zone, candidate.free);
         match &job.step(pos).data_label {
             Some(label) if !candidate.info.labels.contains(label) => {
-                cost * self.remote_cost_factor().unwrap_or(REMOTE_DATA_FACTOR)
+                candidate.cost * self.remote_cost_factor().unwrap_or(REMOTE_DATA_FACTOR)
             }
-            _ => cost,
+            _ => candidate.cost,
         }
     }
 
@@ -293,13 +359,21 @@
     }
 }
 
+/// Returns true if a job could be in time when it was ranked, and no longer can.
+fn is_now_late(rank: Rank, now: Instant) -> bool {
+    matches!(rank.0, Urgency::InTime(_)) && rank.1 < now
+}
+
 /// Returns true if a worker can run a task of the job.
 fn accepts(job: &Job, pos: TaskPos, conditions: Conditions, candidate: &Candidate) -> bool {
     let step = job.step(pos);
     let info = &candidate.info;
     let has_room = match conditions.isolation {
         Isolation::Shared => candidate.free.covers(&step.resources),
-        Isolation::Spaced => candidate.takes_spaced && candidate.free.covers(&step.resources),
+        Isolation::Spaced => {
+            let is_spaced = candidate.spaced_until.is_none_or(|t| t <= conditions.now);
+            is_spaced && candidate.free.covers(&step.resources)
+        }
         Isolation::Alone => info.capacity.covers(&step.resources),
     };
     has_room
--- a/crates/masticcross-jobs/src/scheduler/table.rs
+++ b/crates/masticcross-jobs/src/scheduler/table.rs
@@ -10,6 +10,7 @@
 use crate::job::{JobRequest, StepRequest};
 
 use super::admission::Work;
+use super::workers::Stamp;
 
 /// Number of a job at this entry.
 pub type JobNumber = u64;
@@ -94,6 +95,12 @@
     pub bad_runs: u32,
     /// Longest time for which a task waited for a worker near its data.
     pub place_wait: Duration,
+    /// Values of `runs` and `ran` when the job was ranked last, unless it must be ranked again.
+    pub(super) ranked_with: Option<(u32, bool)>,
+    /// True if the job waits and could be in time when it was ranked last.
+    pub(super) ranked_in_time: bool,
+    /// Step whose tasks no worker had room for, and the change of workers after which this was found.
+    pub(super) no_room: Option<(u16, Stamp)>,
     /// Tasks of each step.
     tasks: Vec<Vec<Task>>,
     /// Number of tasks that are not done.
@@ -119,6 +126,9 @@
             runs: 0,
             bad_runs: 0,
             place_wait: Duration::ZERO,
+            ranked_with: None,
+            ranked_in_time: false,
+            no_room: None,
             tasks,
             open,
         }
@@ -156,6 +166,14 @@
         self.tasks().filter(waiting).map(|(pos, _)| pos).collect()
     }
 
+    /// Returns the first task that can be placed.
+    #[must_use]
+    pub fn first_waiting(&self) -> Option<TaskPos> {
+        let mut tasks = self.tasks();
+        let first = tasks.find(|(_, task)| task.state == TaskState::Waiting);
+        first.map(|(pos, _)| pos)
+    }
+
     /// Returns the number of tasks of a step that are or may be at a worker.
     #[must_use]
     pub fn placed_on(&self, step: u16, worker: &str) -> usize {
@@ -323,6 +341,35 @@
         latest_start.min(self.arrived + useful_time.mul_f64(REFUSE_AFTER_SHARE))
     }
 
+    /// Returns a time before which the job is neither refused nor abandoned, ranked again nor a task of
+    /// it released, if no run of it starts or ends.
+    #[must_use]
+    pub(super) fn attention_at(&self) -> Instant {
+        let mut longest_ms = None;
+        for (pos, task) in self.tasks() {
+            match &task.state {
+                TaskState::Delayed(_) | TaskState::Unreachable(..) => return self.arrived,
+                TaskState::Waiting | TaskState::AwaitingPlace => {
+                    longest_ms = longest_ms.max(Some(self.step(pos).expected_ms));
+                }
+                TaskState::Blocked | TaskState::Running(_) | TaskState::Done => {}
+            }
+        }
+        let mut at = self.request.deadline;
+        if !self.may_have_run() {
+            at = at.min(self.refuse_at());
+        }
+        if let Some(longest_ms) = longest_ms {
+            let longest = Duration::from_millis(longest_ms.into());
+            let latest = self.useful_until().checked_sub(longest);
+            at = at.min(latest.unwrap_or(self.arrived));
+        }
+        if self.ranked_in_time {
+            at = at.min(self.latest_start().unwrap_or(self.arrived));
+        }
+        at
+    }
+
     fn unblock(&mut self) {
         for number in 0..self.tasks.len() {
             let is_blocked = |t: &Task| t.state == TaskState::Blocked;
--- a/crates/masticcross-jobs/src/scheduler/tests.rs
+++ b/crates/masticcross-jobs/src/scheduler/tests.rs
@@ -2,6 +2,7 @@
 
 mod crashes;
 mod place_wait;
+mod totals;
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -266,6 +267,22 @@
         let is_fetch = |e: &Effect| matches!(e, Effect::Send(2, PoolFrame::FetchView(_)));
         assert!(effects.len() == 2 && effects.iter().all(is_fetch), "{effects:?}");
     };
+    // Guards against a search for room, and a message, for each of several changes that arrive together.
+    changes_that_arrive_together_are_followed_by_one_placement => |_| {
+        let mut f = Fixture::with_worker(4);
+        f.submit(f.job("a", smallvec![tasks(2, 2)]));
+        f.submit(f.job("b", smallvec![tasks(2, 2)]));
+        f.scheduler.hold_placement();
+        f.end_all(RunResult::Done);
+        f.free(1, 4, 2);
+        assert_eq!((f.outcomes(), f.sent.len()), (vec![JobOutcome::Completed], 0));
+        f.scheduler.resume_placement(f.now);
+        let effects = f.scheduler.take_effects();
+        let [Effect::Send(1, PoolFrame::Run(requests))] = &effects[..] else {
+            panic!("expected one message, got {effects:?}");
+        };
+        assert_eq!(requests.len(), 2);
+    };
     without_a_worker_in_contact_no_job_is_refused_as_overload => |_| {
         let mut f = Fixture::with_worker(4);
         f.advance(Duration::from_millis(20));
--- a/crates/masticcross-jobs/src/scheduler/worker.rs
+++ b/crates/masticcross-jobs/src/scheduler/worker.rs
@@ -175,6 +175,12 @@
         limit.saturating_sub(self.running)
     }
 
+    /// Returns true while the number of further runs may change with time alone.
+    #[must_use]
+    pub fn changes_over_time(&self, now: Instant) -> bool {
+        self.health.limit_changes_over_time(now)
+    }
+
     /// Returns the placement cost of the worker; lower is better.
     #[must_use]
     pub fn cost(&self, zone: &str, free: Resources) -> f64 {
