Divide a worker's free resources among the entries by demand

Cause: an agent with more than four sessions announces what becomes free at once to the entry whose run ended and to the others up to 40 ms later, to all of them alike. Under overload the entries race for the same resources: the entry that reacts first gets them, and most other run requests are refused.

Change: an entry tells each agent, before the echo of a probe, one worker's part of what waits (PoolFrame::Demand, by priority, rounded to whole tasks). The agent offers free CPU to one entry and reserves it for 30 ms: most urgent priority first, then the entry that got least relative to the work that arrives at it (start-time fair accounts, as one worker starts less than a task a second for an entry with little work). Offers that no longer fit are taken back. An entry whose offers expire three times in a row is asked last for 300 ms. Run requests state their priority; a more urgent run may take reserved CPU. Without demand nothing changes.

--- a/crates/masticcross-jobs/src/agent/sessions.rs
+++ b/crates/masticcross-jobs/src/agent/sessions.rs
@@ -157,6 +157,9 @@
             PoolFrame::Echo(probe) => {
                 self.with_supervisor(|supervisor, now| supervisor.echoed(session, probe, now));
             }
+            PoolFrame::Demand(demand) => self.with_supervisor(|supervisor, now| {
+                supervisor.demand_received(session, &demand, now);
+            }),
             PoolFrame::View(view) => self.with_supervisor(|supervisor, now| {
                 supervisor.view_announced(session, view, now);
             }),
--- a/crates/masticcross-jobs/src/entry.rs
+++ b/crates/masticcross-jobs/src/entry.rs
@@ -386,7 +386,12 @@
 
     fn handle(&self, agent: &Name, session: SessionId, frame: PoolFrame) {
         self.with_state(|state, now| match frame {
-            PoolFrame::Probe(probe) => state.send(session, PoolFrame::Echo(probe)),
+            PoolFrame::Probe(probe) => {
+                if let Some(demand) = state.scheduler.demand(agent, session, now) {
+                    state.send(session, PoolFrame::Demand(demand));
+                }
+                state.send(session, PoolFrame::Echo(probe));
+            }
             PoolFrame::Worker(info) => {
                 state.scheduler.worker_changed(agent, session, info, now);
             }
@@ -414,6 +419,7 @@
             PoolFrame::Entries(_)
             | PoolFrame::Resume(_)
             | PoolFrame::Echo(_)
+            | PoolFrame::Demand(_)
             | PoolFrame::Run(_)
             | PoolFrame::Stop(_) => {}
         });
--- a/crates/masticcross-jobs/src/metrics.rs
+++ b/crates/masticcross-jobs/src/metrics.rs
@@ -291,6 +291,9 @@
     open: IntGauge,
     view_position: IntGauge,
     worker_crashes: IntGauge,
+    demand_cpu: IntGauge,
+    offers: IntGauge,
+    offers_unused: IntGauge,
 }
 
 impl AgentMetrics {
@@ -316,6 +319,17 @@
                 "Position of the operator view in force",
             )?,
             worker_crashes: gauge(&registry, "worker_crashes", "Crashes of the worker")?,
+            demand_cpu: gauge(
+                &registry,
+                "demand_cpu",
+                "Thousandths of a core for which entries have work waiting",
+            )?,
+            offers: gauge(&registry, "offers", "Free resources offered to one entry")?,
+            offers_unused: gauge(
+                &registry,
+                "offers_unused",
+                "Offers that expired without a run",
+            )?,
             registry,
         })
     }
@@ -343,6 +357,9 @@
         self.open.set(i64::from(gauges.open));
         self.view_position.set(saturating(gauges.view_position));
         self.worker_crashes.set(saturating(gauges.worker_crashes));
+        self.demand_cpu.set(saturating(gauges.offers.demand_cpu));
+        self.offers.set(saturating(gauges.offers.made));
+        self.offers_unused.set(saturating(gauges.offers.unused));
         text(&self.registry)
     }
 }
--- a/crates/masticcross-jobs/src/scheduler/admission.rs
+++ b/crates/masticcross-jobs/src/scheduler/admission.rs
@@ -99,6 +99,14 @@
         arrived.current = arrived.current.saturating_add(work);
     }
 
+    /// Returns the CPU that the arriving work of queues of the given priority takes, in thousandths of a
+    /// core.
+    #[must_use]
+    pub fn cpu_of(&self, priority: u32, now: Instant) -> u64 {
+        let arrived = self.by_priority.get(&priority);
+        arrived.map_or(0, |arrived| arrived.cpu(now))
+    }
+
     /// Returns the CPU that the arriving work of queues before the given priority takes, in thousandths
     /// of a core.
     #[must_use]
--- a/crates/masticcross-jobs/src/scheduler/mod.rs
+++ b/crates/masticcross-jobs/src/scheduler/mod.rs
@@ -9,6 +9,7 @@
 //! - `ends`: handling of the ends of runs.
 //! - `closing`: ends of jobs.
 //! - `crashes`: crashes of workers.
+//! - `demand`: the waiting work that agents are told.
 //! - `operator_view`: the operators' settings, and their exchange with agents.
 //!
 //! This module does no I/O and never blocks. Methods take the current time and queue [`Effect`]s,
@@ -18,6 +19,7 @@
 mod capacity;
 mod closing;
 mod crashes;
+mod demand;
 mod ends;
 mod locality;
 mod operator_view;
@@ -115,6 +117,7 @@
     arrivals: ArrivalRates,
     saturation: Saturation,
     locality: Locality,
+    waiting_sums: demand::WaitingSums,
     view_fetch: ViewFetch,
     /// The operator view in the form in which it is sent, if it was requested.
     encoded_view: Option<EncodedView>,
@@ -146,6 +149,7 @@
             arrivals: ArrivalRates::default(),
             saturation: Saturation::default(),
             locality: Locality::default(),
+            waiting_sums: demand::WaitingSums::default(),
             view_fetch: ViewFetch::new(operator_view::FETCH_PACE, 0),
             encoded_view: None,
             view_keepers: SmallVec::new(),
@@ -216,8 +220,10 @@
             usable_workers = self.gauges().workers, jobs_waiting = self.waiting.len();
             "job taken"
         );
-        self.arrivals
-            .add(job.queue.priority, job.request.work(), now);
+        let (priority, work) = (job.queue.priority, job.request.work());
+        self.arrivals.add(priority, work, now);
+        self.waiting_sums
+            .add_arrival(&job.queue.service, priority, work, now);
         self.by_id.insert(id, number);
         self.jobs.insert(number, job);
         self.rank(number, now);
--- a/crates/masticcross-jobs/src/scheduler/placement.rs
+++ b/crates/masticcross-jobs/src/scheduler/placement.rs
@@ -36,10 +36,10 @@
 
 /// What a task requires of a worker beside resources.
 #[derive(Debug, Clone, Copy)]
-struct Conditions {
-    isolation: Isolation,
+pub(super) struct Conditions {
+    pub(super) isolation: Isolation,
     /// Limit of the task's queue, if it is confined.
-    limit: Option<Limit>,
+    pub(super) limit: Option<Limit>,
 }
 
 /// Result of an attempt to place the waiting tasks of a job.
@@ -284,6 +284,7 @@
             isolation,
             expected_ms: step.expected_ms,
             late,
+            priority: job.queue.priority,
         };
         let worker = self.workers.get_mut(worker)?;
         let name = worker.name.clone();
@@ -318,7 +319,7 @@
 }
 
 /// Returns true if a worker at the given place runs tasks under the given conditions.
-fn is_open_to(place: Option<Place>, conditions: Conditions) -> bool {
+pub(super) fn is_open_to(place: Option<Place>, conditions: Conditions) -> bool {
     let Some(place) = place else {
         return true;
     };
--- a/crates/masticcross-jobs/src/supervisor/clients.rs
+++ b/crates/masticcross-jobs/src/supervisor/clients.rs
@@ -39,8 +39,8 @@
     pub requests_seen: u64,
     /// Free resources last announced on the open session.
     announced: Option<FreeResources>,
-    /// True if a run of this entry has ended since the last announcement.
-    run_ended: bool,
+    /// True if a run of this entry has ended, or its offers have changed, since the last announcement.
+    is_due: bool,
     /// When the last answered probe was sent, or the session was opened.
     last_contact: Instant,
     /// Since when the open session is being replaced by one with another entry, if it is.
@@ -55,7 +55,7 @@
             session: None,
             requests_seen: 0,
             announced: None,
-            run_ended: false,
+            is_due: false,
             last_contact: now,
             retiring_since: None,
             ends: VecDeque::new(),
@@ -79,6 +79,17 @@
         now.saturating_duration_since(self.last_contact) < AUTHORITY_TIMEOUT
     }
 
+    /// Returns true if free resources may be offered to the entry.
+    #[must_use]
+    pub fn may_get_offers(&self, now: Instant) -> bool {
+        self.session.is_some() && !self.is_retiring() && self.has_authority(now)
+    }
+
+    /// Announces the free resources at the next opportunity, because offers to the entry changed.
+    pub fn announce_soon(&mut self) {
+        self.is_due = true;
+    }
+
     /// Returns the free resources if they must be announced on the open session now, and records them
     /// as announced. Without `all`, they are announced only if runs of this entry changed them.
     pub fn free_to_announce(
@@ -97,18 +108,18 @@
         let announced_requests = self
             .announced
             .map_or(0, |announced| announced.requests_seen);
-        let changed_by_own_runs = self.run_ended || announced_requests != self.requests_seen;
+        let changed_by_own_runs = self.is_due || announced_requests != self.requests_seen;
         if self.announced == Some(free) || !(all || changed_by_own_runs) {
             return None;
         }
         self.announced = Some(free);
-        self.run_ended = false;
+        self.is_due = false;
         Some((session, free))
     }
 
     /// Stores the end of a run for a session that opens later.
     pub fn store_end(&mut self, end: RunEnd, now: Instant) {
-        self.run_ended = true;
+        self.is_due = true;
         self.ends.push_back((now, end));
         self.drop_old_ends(now);
     }
@@ -238,12 +249,12 @@
     /// Returns the free resources to announce now, by session; see [`Client::free_to_announce`].
     pub fn free_to_announce(
         &mut self,
-        resources: Resources,
+        resources: impl Fn(&ClientId) -> Resources,
         all: bool,
     ) -> Vec<(SessionId, FreeResources)> {
-        let clients = self.by_id.values_mut();
+        let clients = self.by_id.iter_mut();
         clients
-            .filter_map(|c| c.free_to_announce(resources, all))
+            .filter_map(|(id, client)| client.free_to_announce(resources(id), all))
             .collect()
     }
 
--- a/crates/masticcross-jobs/src/supervisor/mod.rs
+++ b/crates/masticcross-jobs/src/supervisor/mod.rs
@@ -8,6 +8,7 @@
 //! - `calls`: calls to the worker and its answers.
 //! - `crashes`: crashes of the worker.
 //! - `notifications`: frames sent to entries.
+//! - [`offers`]: division of free resources among the entries.
 //! - `operator_view`: the operators' settings, and their exchange with entries.
 //!
 //! This module does no I/O and never blocks. Methods take the current time and queue [`Effect`]s,
@@ -19,6 +20,7 @@
 mod isolation;
 pub mod lease;
 mod notifications;
+pub mod offers;
 mod operator_view;
 pub mod runs;
 
@@ -47,6 +49,7 @@
 use clients::{Client, ClientId, Clients};
 use crashes::SilentLoss;
 use lease::Lease;
+use offers::{OfferCounts, Offers};
 use runs::{Phase, Run, Runs};
 
 /// Session number, unique in this process.
@@ -106,6 +109,8 @@
     pub view_position: u64,
     /// Crashes of the worker since the agent started.
     pub worker_crashes: u64,
+    /// Demand of entries, and offers made to them.
+    pub offers: OfferCounts,
 }
 
 /// State of the worker in its current incarnation.
@@ -137,6 +142,7 @@
     /// When a run that must not start close to another such run was started last.
     spaced_start_at: Option<Instant>,
     clients: Clients,
+    offers: Offers,
     view: ViewSummary,
     /// Copy of the operator view for entries that start while the records cannot be read.
     view_copy: Option<EncodedView>,
@@ -170,6 +176,7 @@
             silent_loss: None,
             spaced_start_at: None,
             clients: Clients::default(),
+            offers: Offers::default(),
             view: ViewSummary::default(),
             view_copy: None,
             keeping_for: BTreeSet::new(),
@@ -199,6 +206,7 @@
             open: self.advertised(now).is_some_and(|info| !info.leaving),
             view_position: self.view.position,
             worker_crashes: self.crash_count,
+            offers: self.offers.counts(now),
         }
     }
 
@@ -420,7 +428,8 @@
         }
         let fits = match request.isolation {
             Isolation::Shared | Isolation::Spaced => {
-                self.runs.alone().is_none() && self.free(now).covers(&request.resources)
+                let free = self.free_for(id, request.priority, now);
+                self.runs.alone().is_none() && free.covers(&request.resources)
             }
             Isolation::Alone => info.capacity.covers(&request.resources),
         };
@@ -436,6 +445,7 @@
         if request.isolation == Isolation::Spaced {
             self.spaced_start_at = Some(now);
         }
+        self.offers.started(client, &request);
         self.runs.insert(Run {
             request,
             client: client.clone(),
@@ -462,6 +472,16 @@
         }
     }
 
+    /// Returns the free resources that a run of an entry may use.
+    fn free_for(&self, client: &ClientId, priority: u32, now: Instant) -> Resources {
+        let free = self.free(now);
+        let reserved = self.offers.reserved_from(client, priority);
+        Resources {
+            cpu: free.cpu.saturating_sub(reserved),
+            ..free
+        }
+    }
+
     /// Returns the worker's information for entries, or `None` while the worker cannot be used.
     fn advertised(&self, now: Instant) -> Option<WorkerInfo> {
         let worker = self.worker.as_ref()?;
--- a/crates/masticcross-jobs/src/supervisor/notifications.rs
+++ b/crates/masticcross-jobs/src/supervisor/notifications.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use masticcross_wire::NotStartedReason;
-use masticcross_wire::pool::{EntryAddr, PoolFrame, Resume, RunEnd, RunId, RunResult};
+use masticcross_wire::pool::{
+    EntryAddr, PoolFrame, Resources, Resume, RoomDemand, RunEnd, RunId, RunResult,
+};
 use tokio::time::Instant;
 
 use super::clients::{Client, ClientId};
@@ -25,6 +27,7 @@
     /// Opens a session with an entry and sends it the state of the worker and of its runs.
     pub fn session_opened(&mut self, id: &ClientId, session: SessionId, now: Instant) {
         self.clients.open(id, session, now);
+        self.offers.forget(id);
         let for_entry = |run: &&Run| run.client == *id;
         let mut running: Vec<RunId> = self.runs.iter().filter(for_entry).map(run_id).collect();
         running.sort();
@@ -51,7 +54,7 @@
         ];
         let sends = frames.into_iter().map(|frame| Effect::Send(session, frame));
         self.effects.extend(sends);
-        let resources = self.free(now);
+        let resources = self.free_for(id, u32::MAX, now);
         let client = self.clients.get_mut(id);
         if let Some((session, free)) = client.and_then(|c| c.free_to_announce(resources, true)) {
             self.effects
@@ -61,6 +64,9 @@
 
     /// Handles the end of a session. Runs of the entry continue until its authority times out.
     pub fn session_closed(&mut self, session: SessionId) {
+        if let Some(id) = self.clients.id_of(session) {
+            self.offers.forget(&id);
+        }
         self.clients.close(session);
         self.view_fetch.closed(session);
         self.view_relay.closed(session);
@@ -139,13 +145,40 @@
         if all {
             self.announced_all_at = Some(now);
         }
-        let resources = self.free(now);
-        for (session, free) in self.clients.free_to_announce(resources, all) {
+        let free = self.free(now);
+        self.divide(free, now);
+        let offers = &self.offers;
+        let for_entry = |id: &ClientId| Resources {
+            cpu: free.cpu.saturating_sub(offers.reserved_from(id, u32::MAX)),
+            ..free
+        };
+        for (session, free) in self.clients.free_to_announce(for_entry, all) {
             self.effects
                 .push(Effect::Send(session, PoolFrame::Free(free)));
         }
     }
 
+    /// Handles the work that waits at an entry.
+    pub fn demand_received(&mut self, session: SessionId, demand: &RoomDemand, now: Instant) {
+        let capacity = self.advertised(now).map_or(0, |info| info.capacity.cpu);
+        if let Some(id) = self.clients.id_of(session) {
+            self.offers.asked(&id, demand, capacity, now);
+            self.publish(now);
+        }
+    }
+
+    /// Offers free resources to the entries whose work waits.
+    fn divide(&mut self, free: Resources, now: Instant) {
+        let clients = &self.clients;
+        let may_get = |id: &ClientId| clients.get(id).is_some_and(|c| c.may_get_offers(now));
+        self.offers.divide(free.cpu, may_get, now);
+        for id in self.offers.take_changed() {
+            if let Some(client) = self.clients.get_mut(&id) {
+                client.announce_soon();
+            }
+        }
+    }
+
     pub(super) fn send_all(&mut self, frame: &PoolFrame) {
         for session in self.clients.sessions() {
             self.effects.push(Effect::Send(session, frame.clone()));
--- a/crates/masticcross-jobs/src/supervisor/tests.rs
+++ b/crates/masticcross-jobs/src/supervisor/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the supervisor.
 
 mod crashes;
+mod offers;
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -247,6 +248,7 @@
         isolation: Isolation::Shared,
         expected_ms: 100,
         late: false,
+        priority: 0,
     }
 }
 
--- a/crates/masticcross-jobs/tests/extreme_input.rs
+++ b/crates/masticcross-jobs/tests/extreme_input.rs
@@ -253,6 +253,7 @@
                 isolation: n.isolation(),
                 expected_ms: n.short(),
                 late: n.small() == 0,
+                priority: n.small().into(),
             };
             supervisor.run(session, vec![request], now);
         }
--- a/crates/masticcross-jobs/tests/schedule/simulation.rs
+++ b/crates/masticcross-jobs/tests/schedule/simulation.rs
@@ -409,6 +409,11 @@
     }
 
     fn send_to_agent(&mut self, agent: usize, entry: usize, frame: PoolFrame) {
+        self.send_message_to_agent(agent, entry, vec![frame]);
+    }
+
+    /// Sends frames that arrive together.
+    fn send_message_to_agent(&mut self, agent: usize, entry: usize, frames: Vec<PoolFrame>) {
         let delay = self.rng.random_range(0..4);
         let Some(session) = self
             .sessions
@@ -419,7 +424,9 @@
         };
         session.last_to_agent = session.last_to_agent.max(self.now + delay);
         let (delay, number) = (session.last_to_agent - self.now, session.number);
-        self.after(delay, Event::ToAgent(agent, entry, number, frame));
+        for frame in frames {
+            self.after(delay, Event::ToAgent(agent, entry, number, frame));
+        }
     }
 
     fn deliver_to_agent(&mut self, agent: usize, entry: usize, number: u64, frame: PoolFrame) {
@@ -444,6 +451,7 @@
         let supervisor = &mut self.agents[agent].supervisor;
         match frame {
             PoolFrame::Echo(probe) => supervisor.echoed(number, probe, now),
+            PoolFrame::Demand(demand) => supervisor.demand_received(number, &demand, now),
             PoolFrame::View(view) => supervisor.view_announced(number, view, now),
             PoolFrame::FetchView(range) => supervisor.view_requested(number, range),
             PoolFrame::ViewPart(part) => supervisor.view_part_received(number, &part, now),
@@ -471,7 +479,12 @@
         let name = agent_name(agent);
         let state = &mut self.entries[entry];
         match frame {
-            PoolFrame::Probe(probe) => self.send_to_agent(agent, entry, PoolFrame::Echo(probe)),
+            PoolFrame::Probe(probe) => {
+                let demand = state.scheduler.demand(&name, number, now);
+                let mut frames: Vec<_> = demand.map(PoolFrame::Demand).into_iter().collect();
+                frames.push(PoolFrame::Echo(probe));
+                self.send_message_to_agent(agent, entry, frames);
+            }
             PoolFrame::Worker(info) => state.scheduler.worker_changed(&name, number, info, now),
             PoolFrame::Free(free) => state.scheduler.update_free(&name, number, free, now),
             PoolFrame::Resume(resume) => state.scheduler.resumed(&name, number, &resume, now),
--- a/crates/masticcross-wire/src/codec/tests/pool.rs
+++ b/crates/masticcross-wire/src/codec/tests/pool.rs
@@ -7,13 +7,14 @@
 use crate::crash::{CrashedRun, Isolation, WorkerCrash};
 use crate::frame::NotStartedReason;
 use crate::pool::{
-    EntryAddr, FreeResources, OperatorView, PoolFrame, Queue, Resources, Resume, RunEnd, RunId,
-    RunRequest, RunResult, TaskId, ViewAnnouncement, ViewPart, ViewRange, WorkerInfo,
+    EntryAddr, FreeResources, OperatorView, PoolFrame, PriorityDemand, Queue, Resources, Resume,
+    RoomDemand, RunEnd, RunId, RunRequest, RunResult, TaskId, ViewAnnouncement, ViewPart,
+    ViewRange, WorkerInfo,
 };
 
 /// Generates a message of any kind.
 pub fn frame(g: &mut Gen) -> PoolFrame {
-    match u8::arbitrary(g) % 13 {
+    match u8::arbitrary(g) % 14 {
         0 => PoolFrame::Probe(u64::arbitrary(g)),
         1 => PoolFrame::Echo(u64::arbitrary(g)),
         2 => PoolFrame::View(ViewAnnouncement {
@@ -51,6 +52,16 @@
             offset: u64::arbitrary(g),
         }),
         11 => PoolFrame::Crashes(list(g, crash)),
+        12 => PoolFrame::Demand(RoomDemand {
+            priorities: list(g, |g| PriorityDemand {
+                priority: u32::arbitrary(g),
+                cpu: u64::arbitrary(g),
+                arriving_cpu: u64::arbitrary(g),
+                task_cpu: u64::arbitrary(g),
+                latest_start_ms: u32::arbitrary(g),
+            })
+            .into(),
+        }),
         _ => PoolFrame::Ended(list(g, end)),
     }
 }
@@ -99,6 +110,7 @@
         isolation: isolation(g),
         expected_ms: u32::arbitrary(g),
         late: bool::arbitrary(g),
+        priority: u32::arbitrary(g),
     }
 }
 
--- a/crates/masticcross-wire/src/pool.rs
+++ b/crates/masticcross-wire/src/pool.rs
@@ -108,6 +108,9 @@
     /// True if the job will be late in any case. Such runs only use resources that no other run
     /// needs.
     pub late: bool,
+    /// Priority of the job's queue; 0 is the highest.
+    #[serde(default)]
+    pub priority: u32,
 }
 
 /// How a run ended.
@@ -164,6 +167,33 @@
     pub requests_seen: u64,
 }
 
+/// Work of one priority that waits at an entry for an agent's worker and can still be in time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct PriorityDemand {
+    /// Priority of the queues; 0 is the highest.
+    pub priority: u32,
+    /// This worker's part of the CPU that the waiting tasks require, in thousandths of a core.
+    pub cpu: u64,
+    /// This worker's part of the CPU that the arriving tasks take, in thousandths of a core.
+    pub arriving_cpu: u64,
+    /// Smallest CPU that a waiting task requires, in thousandths of a core.
+    pub task_cpu: u64,
+    /// Time from now until which at least one of the tasks is of use if it starts, in milliseconds.
+    pub latest_start_ms: u32,
+}
+
+/// Work that waits at an entry for an agent's worker, by priority.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct RoomDemand {
+    /// The most urgent priorities, at most [`Self::MAX_PRIORITIES`], most urgent first.
+    pub priorities: SmallVec<[PriorityDemand; 4]>,
+}
+
+impl RoomDemand {
+    /// Largest number of priorities in a message.
+    pub const MAX_PRIORITIES: usize = 4;
+}
+
 /// Runs that an agent has for an entry when a session opens.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Resume {
@@ -309,6 +339,8 @@
     Probe(u64),
     /// From the entry: the time of a probe, sent back.
     Echo(u64),
+    /// From the entry, before an echo: work that waits for free resources. Not sent while none waits.
+    Demand(RoomDemand),
     /// From either: summary of the sender's operator settings.
     View(ViewAnnouncement),
     /// From either: a request for a part of the operator settings.
@@ -340,6 +372,7 @@
         match self {
             Self::Probe(_) => "probe",
             Self::Echo(_) => "echo",
+            Self::Demand(_) => "demand",
             Self::View(_) => "operator_view",
             Self::FetchView(_) => "fetch_view",
             Self::ViewPart(_) => "view_part",
@@ -364,6 +397,7 @@
             | Self::ViewPart(_)
             | Self::Worker(_)
             | Self::Free(_) => 1,
+            Self::Demand(demand) => demand.priorities.len(),
             Self::View(view) => view.summary.zones_out.len() + 1,
             Self::Entries(entries) => entries.len(),
             Self::Resume(resume) => resume.running.len() + resume.ended.len(),
