--- a/crates/masticcross-jobs/src/entry.rs
+++ b/crates/masticcross-jobs/src/entry.rs
@@ -417,7 +417,12 @@
         now: Instant,
     ) {
         match frame {
-            PoolFrame::Probe(probe) => state.send(session, PoolFrame::Echo(probe)),
+            PoolFrame::Probe(probe) => {
+                if let Some(demand) = state.scheduler.demand(agent, session, now) {
+                    state.send(session, PoolFrame::Demand(demand));
+                }
+                state.send(session, PoolFrame::Echo(probe));
+            }
             PoolFrame::Worker(info) => {
                 state.scheduler.worker_changed(agent, session, info, now);
             }
@@ -445,6 +450,7 @@
             PoolFrame::Entries(_)
             | PoolFrame::Resume(_)
             | PoolFrame::Echo(_)
+            | PoolFrame::Demand(_)
             | PoolFrame::Run(_)
             | PoolFrame::Stop(_) => {}
         }
--- a/crates/masticcross-jobs/src/scheduler/placement.rs
+++ b/crates/masticcross-jobs/src/scheduler/placement.rs
@@ -28,10 +28,10 @@
 /// What a task requires of a worker beside resources.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Conditions {
-    isolation: Isolation,
+    pub(super) isolation: Isolation,
     /// Limit of the task's queue, if it is confined.
-    limit: Option<Limit>,
-    now: Instant,
+    pub(super) limit: Option<Limit>,
+    pub(super) now: Instant,
 }
 
 impl Conditions {
@@ -350,6 +350,7 @@
             isolation,
             expected_ms: step.expected_ms,
             late,
+            priority: job.queue.priority,
         };
         let worker = self.workers.get_mut(worker)?;
         let name = worker.name.clone();
@@ -392,7 +393,7 @@
 }
 
 /// Returns true if a worker at the given place runs tasks under the given conditions.
-fn is_open_to(place: Option<Place>, conditions: Conditions) -> bool {
+pub(super) fn is_open_to(place: Option<Place>, conditions: Conditions) -> bool {
     let Some(place) = place else {
         return true;
     };
