--- a/crates/masticcross-jobs/src/scheduler/admission.rs
+++ b/crates/masticcross-jobs/src/scheduler/admission.rs
@@ -99,6 +99,14 @@
         arrived.current = arrived.current.saturating_add(work);
     }
 
+    /// Returns the CPU that the arriving work of queues of the given priority takes, in thousandths of a
+    /// core.
+    #[must_use]
+    pub fn cpu_of(&self, priority: u32, now: Instant) -> u64 {
+        let arrived = self.by_priority.get(&priority);
+        arrived.map_or(0, |arrived| arrived.cpu(now))
+    }
+
     /// Returns the CPU that the arriving work of queues before the given priority takes, in thousandths
     /// of a core.
     #[must_use]
@@ -192,6 +200,14 @@
         Some(Duration::from_millis(wait_ms))
     }
 
+    /// Returns true if [`Self::allows_start_by`] is certain for a start within the given time. This needs
+    /// no division, as it is asked for each waiting job at each submission.
+    #[must_use]
+    pub fn surely_allows_start_within(&self, longest_ms: u64) -> bool {
+        const { assert!(USABLE_WAIT_SHARE > 0.5) };
+        self.ahead <= self.share_cpu.saturating_mul(longest_ms / 2)
+    }
+
     /// Returns true if a job may start by the given time.
     #[must_use]
     pub fn allows_start_by(&self, latest: Instant, now: Instant) -> bool {
--- a/crates/masticcross-jobs/src/scheduler/placement.rs
+++ b/crates/masticcross-jobs/src/scheduler/placement.rs
@@ -1,12 +1,11 @@
 //! Choice of tasks and workers.
 
 use std::collections::{BTreeMap, Bound};
-use std::sync::Arc;
 use std::time::Duration;
 
 use masticcross_basics::Name;
 use masticcross_wire::crash::Isolation;
-use masticcross_wire::pool::{PoolFrame, Resources, RunRequest, WorkerInfo};
+use masticcross_wire::pool::{PoolFrame, RunRequest, WorkerInfo};
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
@@ -15,36 +14,36 @@
 use crate::worker_choice::{self, Choice, Need, Offer};
 
 use super::table::{Job, JobNumber, TaskPos, TaskState, Urgency};
-use super::worker::{Worker, load};
-use super::{Effect, Scheduler};
+use super::worker::load;
+use super::workers::Candidate;
+use super::{Effect, Placement, Rank, Scheduler};
 
 /// Jobs skipped for lack of resources before the search ends.
 const MAX_SKIPPED_JOBS: usize = 8;
 
 /// Jobs held for a later start before the search ends.
-const MAX_HELD_JOBS: usize = 64;
+const MAX_HELD_JOBS: usize = 16;
+
+/// Changes of workers after which a job that still has no room remembers the latest one.
+const MAX_REMEMBERED_CHANGES: u64 = 8;
 
 /// Cost factor of a worker that is far from the task's data, without the setting `remote_factor`.
 const REMOTE_DATA_FACTOR: f64 = 1.5;
 
-/// A worker that can get runs now.
-struct Candidate {
-    name: Name,
-    info: Arc<WorkerInfo>,
-    free: Resources,
-    slots: u32,
-    /// Position among the workers of the service, if a queue is confined.
-    place: Option<Place>,
-    /// True if a run that may not start close to another such run can start now.
-    takes_spaced: bool,
-}
-
 /// What a task requires of a worker beside resources.
 #[derive(Debug, Clone, Copy)]
-struct Conditions {
-    isolation: Isolation,
+pub(super) struct Conditions {
+    pub(super) isolation: Isolation,
     /// Limit of the task's queue, if it is confined.
-    limit: Option<Limit>,
+    pub(super) limit: Option<Limit>,
+    pub(super) now: Instant,
+}
+
+impl Conditions {
+    /// Returns true if only resources and the state of the workers decide where the task can run.
+    fn are_usual(&self) -> bool {
+        self.isolation == Isolation::Shared && self.limit.is_none()
+    }
 }
 
 /// Result of an attempt to place the waiting tasks of a job.
@@ -63,36 +62,34 @@
 impl Scheduler {
     /// Places waiting tasks as long as there are free resources.
     pub(super) fn place(&mut self, now: Instant) {
+        if let Placement::Held { due } = &mut self.placement {
+            *due = true;
+            return;
+        }
         if self.waiting.is_empty() {
             return;
         }
         self.speeds.begin_pass();
-        let mut candidates = self.candidates(now);
+        self.refresh_candidates(now);
         let mut run_requests: BTreeMap<Name, Vec<RunRequest>> = BTreeMap::new();
         let (mut skipped, mut held) = (0, 0);
         let mut full_queues: SmallVec<[Name; 2]> = SmallVec::new();
-        let mut next = self.waiting.first().copied();
+        let mut next = self.waiting.keys().next().copied();
         while let Some(rank) = next {
-            if candidates.is_empty() || skipped >= MAX_SKIPPED_JOBS || held >= MAX_HELD_JOBS {
+            if !self.workers.has_candidates()
+                || skipped >= MAX_SKIPPED_JOBS
+                || held >= MAX_HELD_JOBS
+            {
                 break;
             }
-            let number = rank.2;
-            let queue = self.jobs.get(&number).map(|job| job.queue.name.clone());
-            if !queue
-                .as_ref()
-                .is_some_and(|queue| full_queues.contains(queue))
-            {
-                match self.place_job(number, &mut candidates, &mut run_requests, now) {
-                    Placed::All => {}
-                    Placed::Held => held += 1,
-                    Placed::NoRoom => skipped += 1,
-                    Placed::QueueFull => full_queues.extend(queue),
-                }
+            match self.place_unless_full(rank.2, &mut full_queues, &mut run_requests, now) {
+                Placed::All | Placed::QueueFull => {}
+                Placed::Held => held += 1,
+                Placed::NoRoom => skipped += 1,
             }
-            // Ranks the job among those before the next one if its first task has just been sent.
-            self.rank(number, now);
+            self.rank_after_placement(rank, now);
             let after = (Bound::Excluded(rank), Bound::Unbounded);
-            next = self.waiting.range(after).next().copied();
+            next = self.waiting.range(after).next().map(|(rank, _)| *rank);
         }
         for (name, run_requests) in run_requests {
             let session = self.workers.get(&name).and_then(|worker| worker.session);
@@ -103,11 +100,42 @@
         }
     }
 
+    /// Ranks a job again if it has started, or if it can no longer be in time.
+    fn rank_after_placement(&mut self, rank: Rank, now: Instant) {
+        let job = self.jobs.get(&rank.2);
+        let changed = job.is_none_or(|job| job.ranked_with != Some((job.runs, job.ran)));
+        if changed || is_now_late(rank, now) {
+            self.rank(rank.2, now);
+        }
+    }
+
+    /// Places the waiting tasks of a job, unless it is known that there is no room for the first one.
+    fn place_unless_full(
+        &mut self,
+        number: JobNumber,
+        full_queues: &mut SmallVec<[Name; 2]>,
+        run_requests: &mut BTreeMap<Name, Vec<RunRequest>>,
+        now: Instant,
+    ) -> Placed {
+        if self.still_has_no_room(number, now) {
+            return Placed::NoRoom;
+        }
+        let queue = self.jobs.get(&number).map(|job| job.queue.name.clone());
+        let is_full = |queue: &Name| full_queues.contains(queue);
+        if queue.as_ref().is_some_and(is_full) {
+            return Placed::QueueFull;
+        }
+        let placed = self.place_job(number, run_requests, now);
+        if matches!(placed, Placed::QueueFull) {
+            full_queues.extend(queue);
+        }
+        placed
+    }
+
     /// Places the waiting tasks of a job.
     fn place_job(
         &mut self,
         number: JobNumber,
-        candidates: &mut Vec<Candidate>,
         run_requests: &mut BTreeMap<Name, Vec<RunRequest>>,
         now: Instant,
     ) -> Placed {
@@ -117,53 +145,57 @@
         let mut placed = Placed::All;
         let mut waits_for_speed = 0;
         for pos in job.waiting() {
-            let Some(conditions) = self.conditions(number, pos) else {
+            let Some(conditions) = self.conditions(number, pos, now) else {
                 break;
             };
             if self.is_too_risky(number, pos, conditions, now) {
                 placed = Placed::Held;
                 continue;
             }
-            let chosen = match self.choose(number, pos, conditions, candidates, now) {
+            let chosen = match self.choose(number, pos, conditions) {
                 Choice::Take(chosen) => chosen,
                 Choice::Wait => {
                     waits_for_speed += 1;
                     placed = Placed::Held;
                     continue;
                 }
-                Choice::NoRoom => match conditions {
-                    Conditions {
-                        isolation: Isolation::Shared,
-                        limit: None,
-                    } => return Placed::NoRoom,
-                    Conditions {
-                        isolation: Isolation::Shared,
-                        limit: Some(_),
-                    } => return Placed::QueueFull,
-                    Conditions { .. } => {
-                        placed = Placed::Held;
-                        continue;
+                Choice::NoRoom => {
+                    self.remember_no_room(number, pos, conditions);
+                    match conditions {
+                        Conditions {
+                            isolation: Isolation::Shared,
+                            limit: None,
+                            ..
+                        } => return Placed::NoRoom,
+                        Conditions {
+                            isolation: Isolation::Shared,
+                            limit: Some(_),
+                            ..
+                        } => return Placed::QueueFull,
+                        Conditions { .. } => {
+                            placed = Placed::Held;
+                            continue;
+                        }
                     }
-                },
+                }
             };
-            let name = candidates[chosen].name.clone();
+            let name = chosen;
             let may_wait = conditions.isolation == Isolation::Shared && conditions.limit.is_none();
             if may_wait && self.wait_for_place(number, pos, &name, now) {
+                if let Some(job) = self.jobs.memory_mut(&number) {
+                    job.ranked_with = None;
+                }
                 continue;
             }
-            let candidate = &mut candidates[chosen];
             let Some(run_request) = self.send(number, pos, conditions.isolation, &name, now) else {
                 continue;
             };
-            candidate.free = candidate.free.minus(run_request.resources);
-            candidate.slots -= 1;
-            match conditions.isolation {
-                Isolation::Shared => {}
-                Isolation::Spaced => candidate.takes_spaced = false,
-                Isolation::Alone => candidate.slots = 0,
-            }
-            if candidate.slots == 0 {
-                candidates.swap_remove(chosen);
+            // Runs of suspects may be queued at a worker that is full.
+            let needs_cpu = self.suspects.is_empty();
+            self.workers
+                .run_sent(&name, run_request.resources, needs_cpu);
+            if conditions.isolation == Isolation::Alone {
+                self.workers.close(&name);
             }
             log::debug!(run:% = run_request.id, worker:% = name, waited_ms = waited(&self.jobs[&number], now); "run sent");
             run_requests.entry(name).or_default().push(run_request);
@@ -176,11 +208,17 @@
         placed
     }
 
-    fn conditions(&self, number: JobNumber, pos: TaskPos) -> Option<Conditions> {
+    pub(super) fn conditions(
+        &self,
+        number: JobNumber,
+        pos: TaskPos,
+        now: Instant,
+    ) -> Option<Conditions> {
         let job = self.jobs.get(&number)?;
         Some(Conditions {
             isolation: self.isolation(job, pos),
             limit: self.confinement.limit(&job.queue.name),
+            now,
         })
     }
 
@@ -203,78 +241,111 @@
 
     /// Returns true if a worker has room for a waiting task of a job.
     pub(super) fn has_room_for(&self, job: &Job, now: Instant) -> bool {
-        let waiting = job.waiting();
-        let candidates = self.candidates(now);
-        let fits = |pos: &TaskPos| {
+        let limit = self.confinement.limit(&job.queue.name);
+        let mut previous = None;
+        job.waiting().into_iter().any(|pos| {
+            let isolation = self.isolation(job, pos);
             let conditions = Conditions {
-                isolation: self.isolation(job, *pos),
-                limit: self.confinement.limit(&job.queue.name),
+                isolation,
+                limit,
+                now,
             };
-            candidates.iter().any(|c| accepts(job, *pos, conditions, c))
-        };
-        waiting.iter().any(fits)
+            // Tasks of a step differ only by their isolation.
+            let is_repeated = previous.replace((pos.0, isolation)) == Some((pos.0, isolation));
+            !is_repeated && self.options(job, pos, conditions).next().is_some()
+        })
     }
 
-    fn candidates(&self, now: Instant) -> Vec<Candidate> {
-        let Some(view) = &self.view else {
-            return Vec::new();
-        };
+    pub(super) fn refresh_candidates(&mut self, now: Instant) {
+        self.workers.refresh(self.view.as_ref(), now);
         let places = self.places(now);
-        let candidate = |worker: &Worker| {
-            let info = worker.info.as_ref()?;
-            worker.session?;
-            if info.leaving || view.zones_out.contains(&info.zone) {
-                return None;
-            }
-            let slots = worker.slots(now);
-            let free = worker.free();
-            (slots > 0 && free.cpu > 0).then(|| Candidate {
-                name: worker.name.clone(),
-                info: info.clone(),
-                free,
-                slots,
-                place: places.get(&worker.name).copied(),
-                takes_spaced: worker.spaced_until.is_none_or(|until| until <= now),
-            })
+        self.workers.set_places(&places);
+    }
+
+    /// Returns the workers that can run a task of a job, in any order. Those that had no room for it and
+    /// have not changed since are left out unseen.
+    fn options(
+        &self,
+        job: &Job,
+        pos: TaskPos,
+        conditions: Conditions,
+    ) -> impl Iterator<Item = &Candidate> {
+        let no_room = job
+            .no_room
+            .filter(|(step, _)| *step == pos.0 && conditions.are_usual());
+        let changed = no_room.and_then(|(_, stamp)| self.workers.candidates_after(stamp));
+        let all = changed.is_none().then(|| self.workers.candidates());
+        let candidates = changed.into_iter().flatten();
+        let candidates = candidates.chain(all.into_iter().flatten());
+        candidates.filter(move |candidate| accepts(job, pos, conditions, candidate))
+    }
+
+    /// Returns true if a job found no room before, and no worker that changed since has room for it. This
+    /// is the usual case while jobs wait.
+    fn still_has_no_room(&mut self, number: JobNumber, now: Instant) -> bool {
+        if !self.suspects.is_empty() || !self.confinement.is_empty() {
+            return false;
+        }
+        let Some(job) = self.jobs.get(&number) else {
+            return false;
+        };
+        let (Some((step, stamp)), Some(pos)) = (job.no_room, job.first_waiting()) else {
+            return false;
         };
-        self.workers.values().filter_map(candidate).collect()
+        let conditions = Conditions {
+            isolation: Isolation::Shared,
+            limit: None,
+            now,
+        };
+        let no_room = step == pos.0 && self.options(job, pos, conditions).next().is_none();
+        if no_room && self.workers.stamp() > stamp + MAX_REMEMBERED_CHANGES {
+            self.remember_no_room(number, pos, conditions);
+        }
+        no_room
+    }
+
+    /// Records that no worker has room for a task, until workers change.
+    fn remember_no_room(&mut self, number: JobNumber, pos: TaskPos, conditions: Conditions) {
+        let stamp = self.workers.stamp();
+        if conditions.are_usual()
+            && let Some(job) = self.jobs.memory_mut(&number)
+        {
+            job.no_room = Some((pos.0, stamp));
+        }
     }
 
     /// Chooses the best worker for a task. Workers on which the task failed come last.
-    fn choose(
+    pub(super) fn choose(
         &self,
         number: JobNumber,
         pos: TaskPos,
         conditions: Conditions,
-        candidates: &[Candidate],
-        now: Instant,
-    ) -> Choice {
+    ) -> Choice<Name> {
         let Some(job) = self.jobs.get(&number) else {
             return Choice::NoRoom;
         };
         let avoid = job.task(pos).map_or(&[][..], |task| &task.avoid);
-        let fits = |c: &(usize, &Candidate)| accepts(job, pos, conditions, c.1);
-        let fitting: Vec<_> = candidates.iter().enumerate().filter(fits).collect();
-        let offer = |(_, candidate): &(usize, &Candidate)| Offer {
+        let mut fitting: SmallVec<[&Candidate; 16]> = self.options(job, pos, conditions).collect();
+        // The first of several equal offers is taken.
+        fitting.sort_unstable_by(|a, b| a.name.cmp(&b.name));
+        let offer = |candidate: &&Candidate| Offer {
             avoided: avoid.contains(&candidate.name),
             cost: match conditions.isolation {
                 Isolation::Shared | Isolation::Spaced => self.rate(job, pos, candidate),
                 Isolation::Alone => load(candidate.info.capacity, candidate.free),
             },
-            factor: self
-                .workers
-                .get(&candidate.name)
-                .map_or(1.0, Worker::slowness),
+            factor: candidate.factor,
         };
-        let offers: Vec<Offer> = fitting.iter().map(offer).collect();
-        let need = self.need(job, pos, conditions, now);
+        let offers: SmallVec<[Offer; 16]> = fitting.iter().map(offer).collect();
+        let need = self.need(job, pos, conditions);
         match worker_choice::choose(&offers, need, self.speeds.fleet(&job.queue.service)) {
-            Choice::Take(chosen) => Choice::Take(fitting[chosen].0),
-            choice => choice,
+            Choice::Take(chosen) => Choice::Take(fitting[chosen].name.clone()),
+            Choice::Wait => Choice::Wait,
+            Choice::NoRoom => Choice::NoRoom,
         }
     }
 
-    fn need(&self, job: &Job, pos: TaskPos, conditions: Conditions, now: Instant) -> Need {
+    fn need(&self, job: &Job, pos: TaskPos, conditions: Conditions) -> Need {
         let step = job.step(pos);
         let is_free = conditions.isolation == Isolation::Shared && conditions.limit.is_none();
         let may_wait = is_free
@@ -284,22 +355,19 @@
         let factor = self.estimates.factor(&job.queue.name);
         Need {
             run: Duration::from_millis(step.expected_ms.into()).mul_f64(factor),
-            left: job.due().saturating_duration_since(now),
+            left: job.due().saturating_duration_since(conditions.now),
             tasks: u16::try_from(job.waiting().len()).unwrap_or(u16::MAX),
             wait: may_wait.then(|| self.speeds.expected_wait(&job.queue)),
         }
     }
 
+    /// Returns the placement cost of a worker for a task; lower is better.
     fn rate(&self, job: &Job, pos: TaskPos, candidate: &Candidate) -> f64 {
-        let Some(worker) = self.workers.get(&candidate.name) else {
-            return f64::INFINITY;
-        };
-        let cost = worker.cost(&self.zone, candidate.free);
         match &job.step(pos).data_label {
             Some(label) if !candidate.info.labels.contains(label) => {
-                cost * self.remote_cost_factor().unwrap_or(REMOTE_DATA_FACTOR)
+                candidate.cost * self.remote_cost_factor().unwrap_or(REMOTE_DATA_FACTOR)
             }
-            _ => cost,
+            _ => candidate.cost,
         }
     }
 
@@ -330,6 +398,7 @@
             isolation,
             expected_ms: step.expected_ms,
             late,
+            priority: job.queue.priority,
         };
         let worker = self.workers.get_mut(worker)?;
         self.speeds.add_start(&job.queue, worker.slowness());
@@ -340,13 +409,21 @@
     }
 }
 
+/// Returns true if a job could be in time when it was ranked, and no longer can.
+fn is_now_late(rank: Rank, now: Instant) -> bool {
+    matches!(rank.0, Urgency::InTime(_)) && rank.1 < now
+}
+
 /// Returns true if a worker can run a task of the job.
 fn accepts(job: &Job, pos: TaskPos, conditions: Conditions, candidate: &Candidate) -> bool {
     let step = job.step(pos);
     let info = &candidate.info;
     let has_room = match conditions.isolation {
         Isolation::Shared => candidate.free.covers(&step.resources),
-        Isolation::Spaced => candidate.takes_spaced && candidate.free.covers(&step.resources),
+        Isolation::Spaced => {
+            let is_spaced = candidate.spaced_until.is_none_or(|t| t <= conditions.now);
+            is_spaced && candidate.free.covers(&step.resources)
+        }
         Isolation::Alone => info.capacity.covers(&step.resources),
     };
     has_room
@@ -365,7 +442,7 @@
 }
 
 /// Returns true if a worker at the given place runs tasks under the given conditions.
-fn is_open_to(place: Option<Place>, conditions: Conditions) -> bool {
+pub(super) fn is_open_to(place: Option<Place>, conditions: Conditions) -> bool {
     let Some(place) = place else {
         return true;
     };
--- a/crates/masticcross-jobs/src/scheduler/speeds.rs
+++ b/crates/masticcross-jobs/src/scheduler/speeds.rs
@@ -163,13 +163,17 @@
         for (service, kinds) in &self.speeds.kinds {
             log_new_kinds(service, earlier.get(service), kinds);
         }
-        for worker in self.workers.values_mut() {
-            if let Some(info) = &worker.info
-                && let Some(kinds) = self.speeds.kinds.get(&info.service)
-            {
-                worker.speed.set_kind(kinds.of(&info.labels));
-                worker.speed.fade(KINDS_INTERVAL);
-            }
+        let updated = |(name, worker): (&Name, &Worker)| {
+            let info = worker.info.as_ref()?;
+            let kinds = self.speeds.kinds.get(&info.service)?;
+            let mut speed = worker.speed;
+            speed.set_kind(kinds.of(&info.labels));
+            speed.fade(KINDS_INTERVAL);
+            Some((name.clone(), speed))
+        };
+        let updated: Vec<_> = self.workers.iter().filter_map(updated).collect();
+        for (name, speed) in updated {
+            self.workers.set_speed(&name, speed);
         }
     }
 
--- a/crates/masticcross-jobs/src/scheduler/table.rs
+++ b/crates/masticcross-jobs/src/scheduler/table.rs
@@ -10,6 +10,7 @@
 use crate::job::{JobRequest, StepRequest};
 
 use super::admission::Work;
+use super::workers::Stamp;
 
 /// Number of a job at this entry.
 pub type JobNumber = u64;
@@ -69,8 +70,17 @@
     pub failures: u32,
     /// Workers on which the task failed.
     pub avoid: SmallVec<[Name; 2]>,
-    /// Since when the task has waited for a worker near its data, until it is sent.
-    pub place_wait_since: Option<Instant>,
+    /// Wait for a worker near the task's data, until the task is sent.
+    pub place_wait: Option<PlaceWait>,
+}
+
+/// Wait of a task for a worker near its data.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PlaceWait {
+    /// When it began.
+    pub since: Instant,
+    /// How long it was expected to take when it began.
+    pub expected: Duration,
 }
 
 /// A job that has not ended.
@@ -96,6 +106,12 @@
     pub bad_runs: u32,
     /// Longest time for which a task waited for a worker near its data.
     pub place_wait: Duration,
+    /// Values of `runs` and `ran` when the job was ranked last, unless it must be ranked again.
+    pub(super) ranked_with: Option<(u32, bool)>,
+    /// True if the job waits and could be in time when it was ranked last.
+    pub(super) ranked_in_time: bool,
+    /// Step whose tasks no worker had room for, and the change of workers after which this was found.
+    pub(super) no_room: Option<(u16, Stamp)>,
     /// Tasks of each step.
     tasks: Vec<Vec<Task>>,
     /// Number of tasks that are not done.
@@ -122,6 +138,9 @@
             runs: 0,
             bad_runs: 0,
             place_wait: Duration::ZERO,
+            ranked_with: None,
+            ranked_in_time: false,
+            no_room: None,
             tasks,
             open,
         }
@@ -159,6 +178,14 @@
         self.tasks().filter(waiting).map(|(pos, _)| pos).collect()
     }
 
+    /// Returns the first task that can be placed.
+    #[must_use]
+    pub fn first_waiting(&self) -> Option<TaskPos> {
+        let mut tasks = self.tasks();
+        let first = tasks.find(|(_, task)| task.state == TaskState::Waiting);
+        first.map(|(pos, _)| pos)
+    }
+
     /// Returns the number of tasks of a step that are or may be at a worker.
     #[must_use]
     pub fn placed_on(&self, step: u16, worker: &str) -> usize {
@@ -326,6 +353,35 @@
         latest_start.min(self.arrived + useful_time.mul_f64(REFUSE_AFTER_SHARE))
     }
 
+    /// Returns a time before which the job is neither refused nor abandoned, ranked again nor a task of
+    /// it released, if no run of it starts or ends.
+    #[must_use]
+    pub(super) fn attention_at(&self) -> Instant {
+        let mut longest_ms = None;
+        for (pos, task) in self.tasks() {
+            match &task.state {
+                TaskState::Delayed(_) | TaskState::Unreachable(..) => return self.arrived,
+                TaskState::Waiting | TaskState::AwaitingPlace => {
+                    longest_ms = longest_ms.max(Some(self.step(pos).expected_ms));
+                }
+                TaskState::Blocked | TaskState::Running(_) | TaskState::Done => {}
+            }
+        }
+        let mut at = self.request.deadline;
+        if !self.may_have_run() {
+            at = at.min(self.refuse_at());
+        }
+        if let Some(longest_ms) = longest_ms {
+            let longest = Duration::from_millis(longest_ms.into());
+            let latest = self.useful_until().checked_sub(longest);
+            at = at.min(latest.unwrap_or(self.arrived));
+        }
+        if self.ranked_in_time {
+            at = at.min(self.latest_start().unwrap_or(self.arrived));
+        }
+        at
+    }
+
     fn unblock(&mut self) {
         for number in 0..self.tasks.len() {
             let is_blocked = |t: &Task| t.state == TaskState::Blocked;
@@ -366,7 +422,7 @@
         run: 0,
         failures: 0,
         avoid: SmallVec::new(),
-        place_wait_since: None,
+        place_wait: None,
     };
     vec![task; usize::from(step.count)]
 }
--- a/crates/masticcross-jobs/src/worker_choice.rs
+++ b/crates/masticcross-jobs/src/worker_choice.rs
@@ -113,9 +113,9 @@
 
 /// Result of a choice.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Choice {
-    /// The offer with this index.
-    Take(usize),
+pub enum Choice<T = usize> {
+    /// The offer with this index, or its worker.
+    Take(T),
     /// The task waits for a fast worker, where its chance is better than on the free ones.
     Wait,
     /// No worker has room.
