--- a/crates/masticcross-jobs/src/scheduler/tests/totals.rs
+++ b/crates/masticcross-jobs/src/scheduler/tests/totals.rs
@@ -9,6 +9,7 @@
 use crate::scheduler::table::Job;
 use crate::scheduler::worker::Worker;
 use crate::scheduler::workers::WorkerTotals;
+use crate::worker_choice::Choice;
 
 /// Numbers that choose an operation, and what it is applied to.
 type Operation = (u8, u8, u8);
@@ -140,8 +141,11 @@
 }
 
 impl Scheduler {
-    fn choices(&self, number: JobNumber, now: Instant) -> Vec<Option<Name>> {
-        let choice = |pos| self.choose(number, pos, self.conditions(number, pos, now)?);
+    fn choices(&self, number: JobNumber, now: Instant) -> Vec<Option<Choice<Name>>> {
+        let choice = |pos| {
+            let conditions = self.conditions(number, pos, now)?;
+            Some(self.choose(number, pos, conditions))
+        };
         self.jobs[&number]
             .waiting()
             .into_iter()
