Feed demand of absurd sizes to the supervisor in the test of extreme input

Cause: the test did not cover PoolFrame::Demand. Change: one of its actions is demand with any numbers, on open and unknown sessions.

--- a/crates/masticcross-jobs/tests/extreme_input.rs
+++ b/crates/masticcross-jobs/tests/extreme_input.rs
@@ -12,8 +12,9 @@
 use masticcross_wire::NotStartedReason;
 use masticcross_wire::crash::{CrashedRun, Isolation, WorkerCrash};
 use masticcross_wire::pool::{
-    EntryAddr, FreeResources, OperatorView, Queue, Resources, Resume, RunEnd, RunId, RunRequest,
-    RunResult, TaskId, ViewAnnouncement, ViewPart, ViewRange, WorkerInfo,
+    EntryAddr, FreeResources, OperatorView, PriorityDemand, Queue, Resources, Resume, RoomDemand,
+    RunEnd, RunId, RunRequest, RunResult, TaskId, ViewAnnouncement, ViewPart, ViewRange,
+    WorkerInfo,
 };
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use smallvec::smallvec;
@@ -63,6 +64,16 @@
         u32::try_from(self.next()).unwrap_or(u32::MAX)
     }
 
+    fn demand(&mut self) -> PriorityDemand {
+        PriorityDemand {
+            priority: self.short(),
+            cpu: self.next(),
+            arriving_cpu: self.next(),
+            task_cpu: self.next(),
+            latest_start_ms: self.short(),
+        }
+    }
+
     fn resources(&mut self) -> Resources {
         Resources {
             cpu: self.next(),
@@ -226,7 +237,13 @@
 
 fn act_on_supervisor(supervisor: &mut Supervisor, kind: u8, mut n: Numbers, now: Instant) {
     let session = 1 + u64::from(n.small());
-    match kind % 11 {
+    match kind % 12 {
+        10 => {
+            let demand = RoomDemand {
+                priorities: smallvec![n.demand(), n.demand()],
+            };
+            supervisor.demand_received(session, &demand, now);
+        }
         9 => supervisor.crashes_announced(session, vec![n.crash()], now),
         7 => {
             let view = ViewAnnouncement {
