--- a/crates/masticcross-jobs/src/scheduler/place_wait.rs
+++ b/crates/masticcross-jobs/src/scheduler/place_wait.rs
@@ -179,7 +179,8 @@
         return Decision::Elsewhere(Reason::LongWait);
     }
     let chances = Chances { task, ratios, now };
-    match chances.longest_wait(budget.min(task.slack(now)), corrected) {
+    let longest = budget.min(task.slack(now)).min(task.slack_elsewhere(now));
+    match chances.longest_wait(longest, corrected) {
         Some(wait) => Decision::Wait {
             until: now + wait,
             expected,
@@ -211,6 +212,13 @@
             .min(useful)
             .min(until_refused)
     }
+
+    /// Returns the longest wait after which a job that would be in time elsewhere now still is.
+    fn slack_elsewhere(&self, now: Instant) -> Duration {
+        let end = now + self.limits.chain + self.loss();
+        let left = self.limits.due.checked_duration_since(end);
+        left.unwrap_or(Duration::MAX)
+    }
 }
 
 /// Chances of a task to end in time, according to the spread of run times.
