--- a/crates/masticcross-jobs/src/entry.rs
+++ b/crates/masticcross-jobs/src/entry.rs
@@ -145,7 +145,6 @@
     pub fn metrics_text(&self) -> String {
         let (gauges, view) = {
             let scheduler = &self.state.lock().scheduler;
-            self.metrics.show_workers(&scheduler.outlying_workers());
             (scheduler.gauges(), scheduler.view_status(Instant::now()))
         };
         self.metrics.text(gauges, view)
--- a/crates/masticcross-jobs/src/lib.rs
+++ b/crates/masticcross-jobs/src/lib.rs
@@ -18,7 +18,6 @@
 pub mod crashes;
 pub mod entry;
 pub mod entry_selection;
-pub mod estimates;
 pub mod failure_attribution;
 pub mod handover;
 pub mod health;
@@ -31,9 +30,7 @@
 pub mod supervisor;
 pub mod suspension;
 pub mod view;
-pub mod worker_choice;
 pub mod worker_client;
-pub mod worker_speed;
 
 pub use agent::Agent;
 pub use entry::Entry;
--- a/crates/masticcross-jobs/src/metrics.rs
+++ b/crates/masticcross-jobs/src/metrics.rs
@@ -4,12 +4,12 @@
 
 use masticcross_wire::pool::{RunEnd, RunResult};
 use prometheus::{
-    Counter, Gauge, GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec,
-    IntGauge, Opts, Registry, TextEncoder,
+    Counter, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    Opts, Registry, TextEncoder,
 };
 
 use crate::job::JobOutcome;
-use crate::scheduler::{OutlyingWorker, PlaceWaits, SchedulerGauges, ViewStatus};
+use crate::scheduler::{PlaceWaits, SchedulerGauges, ViewStatus};
 use crate::supervisor::SupervisorGauges;
 
 /// Result of registering metrics.
@@ -33,8 +33,6 @@
     waiting: IntGauge,
     workers: IntGauge,
     confined_queues: IntGauge,
-    worker_speed: GaugeVec,
-    worker_degraded: GaugeVec,
     config_version: IntGauge,
     view_position: IntGauge,
     view_age: Gauge,
@@ -168,16 +166,6 @@
                 "queues_confined",
                 "Queues that get a part of the workers, as their tasks crash workers",
             )?,
-            worker_speed: by_worker(
-                &registry,
-                "worker_run_time_factor",
-                "Factor on run times on a worker, for the workers that differ most",
-            )?,
-            worker_degraded: by_worker(
-                &registry,
-                "worker_degraded",
-                "1 for a worker that is slower than its usual speed",
-            )?,
             config_version: gauge(
                 &registry,
                 "config_version",
@@ -219,19 +207,6 @@
         &self.registry
     }
 
-    /// Shows the speeds of workers instead of those shown before.
-    pub fn show_workers(&self, workers: &[OutlyingWorker]) {
-        self.worker_speed.reset();
-        self.worker_degraded.reset();
-        for worker in workers {
-            let labels = [&*worker.name];
-            let speed = self.worker_speed.with_label_values(&labels);
-            speed.set(worker.baseline);
-            let degraded = self.worker_degraded.with_label_values(&labels);
-            degraded.set(f64::from(u8::from(worker.degraded)));
-        }
-    }
-
     /// Counts a job that was answered.
     pub fn answered(&self, outcome: &JobOutcome, took: Duration) {
         let label = match outcome {
@@ -401,12 +376,6 @@
     Ok(gauge)
 }
 
-fn by_worker(registry: &Registry, name: &str, help: &str) -> Result<GaugeVec> {
-    let gauges = GaugeVec::new(Opts::new(name, help), &["worker"])?;
-    registry.register(Box::new(gauges.clone()))?;
-    Ok(gauges)
-}
-
 fn view_age(registry: &Registry) -> Result<Gauge> {
     let help = "Time since a read showed that the operator view in force is the newest";
     let gauge = Gauge::new("view_age_seconds", help)?;
--- a/crates/masticcross-jobs/src/scheduler/ends.rs
+++ b/crates/masticcross-jobs/src/scheduler/ends.rs
@@ -155,12 +155,12 @@
         let expected = f64::from(job.step(pos).expected_ms.max(1)) * factor;
         let all_done = job.done(pos);
         let ratio = f64::from(end.took_ms.max(1)) / expected;
-        let queue = job.queue.name.clone();
-        self.confinement.succeeded(&queue, now);
+        self.ratios.add(Duration::from_secs_f64(ratio));
+        self.confinement.succeeded(&job.queue.name, now);
         if let Some(worker) = self.workers.get_mut(name) {
+            worker.observe(ratio, &self.ratios);
             worker.health.succeeded(now);
         }
-        self.observe_run(name, number, &queue, ratio);
         if all_done {
             self.end_job(number, JobOutcome::Completed, now);
         }
--- a/crates/masticcross-jobs/src/scheduler/mod.rs
+++ b/crates/masticcross-jobs/src/scheduler/mod.rs
@@ -10,7 +10,6 @@
 //! - `closing`: ends of jobs.
 //! - `crashes`: crashes of workers.
 //! - `demand`: the waiting work that agents are told.
-//! - `speeds`: speeds of the workers.
 //! - `operator_view`: the operators' settings, and their exchange with agents.
 //!
 //! This module does no I/O and never blocks. Methods take the current time and queue [`Effect`]s,
@@ -27,7 +26,6 @@
 mod operator_view;
 pub mod place_wait;
 mod placement;
-mod speeds;
 pub mod table;
 pub mod worker;
 mod workers;
@@ -48,7 +46,6 @@
 use crate::crashes::confinement::Confinement;
 use crate::crashes::log::CrashLog;
 use crate::crashes::suspects::Suspects;
-use crate::estimates::Estimates;
 use crate::failure_attribution::FailureAttribution;
 use crate::job::{JobOutcome, JobRequest};
 use crate::run_times::RunTimes;
@@ -60,8 +57,6 @@
 use locality::Locality;
 pub use locality::PlaceWaits;
 pub use operator_view::ViewStatus;
-pub use speeds::OutlyingWorker;
-use speeds::Speeds;
 use table::{Job, JobNumber, TaskPos, TaskState, Urgency};
 use worker::Worker;
 use workers::Workers;
@@ -142,8 +137,6 @@
     next_job: JobNumber,
     /// Ratios of actual to expected run times. A ratio of 1 is stored as one second.
     ratios: RunTimes,
-    estimates: Estimates,
-    speeds: Speeds,
     failure_attribution: FailureAttribution<JobNumber, Name>,
     crash_log: CrashLog,
     suspects: Suspects,
@@ -178,8 +171,6 @@
             placement: Placement::Immediate,
             next_job: 1,
             ratios: RunTimes::default(),
-            estimates: Estimates::default(),
-            speeds: Speeds::default(),
             failure_attribution: FailureAttribution::default(),
             crash_log: CrashLog::default(),
             suspects: Suspects::default(),
@@ -247,8 +238,7 @@
         let number = self.next_job;
         self.next_job += 1;
         let id = request.id.clone();
-        let mut job = Job::new(request, queue, arrived);
-        job.time_factor = self.estimates.factor(&job.queue.name);
+        let job = Job::new(request, queue, arrived);
         let view = self.view_status(now);
         log::info!(
             job:% = id, queue:% = job.queue.name, tasks = job.tasks().count(),
@@ -406,7 +396,6 @@
         self.fetch_view(now);
         self.suspects.remove_old(now);
         self.confinement.relax(now);
-        self.refresh_speeds(now);
         let due = if self.confinement.is_empty() {
             self.jobs.due(now)
         } else {
--- a/crates/masticcross-jobs/src/scheduler/placement.rs
+++ b/crates/masticcross-jobs/src/scheduler/placement.rs
@@ -1,7 +1,6 @@
 //! Choice of tasks and workers.
 
 use std::collections::{BTreeMap, Bound};
-use std::time::Duration;
 
 use masticcross_basics::Name;
 use masticcross_wire::crash::Isolation;
@@ -11,7 +10,6 @@
 
 use crate::crashes::confinement::{Limit, Place};
 use crate::crashes::suspects::Verdict;
-use crate::worker_choice::{self, Choice, Need, Offer};
 
 use super::table::{Job, JobNumber, TaskPos, TaskState, Urgency};
 use super::worker::load;
@@ -21,9 +19,6 @@
 /// Jobs skipped for lack of resources before the search ends.
 const MAX_SKIPPED_JOBS: usize = 8;
 
-/// Jobs held for a later start before the search ends.
-const MAX_HELD_JOBS: usize = 16;
-
 /// Changes of workers after which a job that still has no room remembers the latest one.
 const MAX_REMEMBERED_CHANGES: u64 = 8;
 
@@ -54,8 +49,7 @@
     NoRoom,
     /// The workers that are left to the job's confined queue have no room for one of the tasks.
     QueueFull,
-    /// A suspect waits until it may start, or a task for a faster worker. This does not concern other
-    /// jobs.
+    /// A suspect waits until it may start. This does not concern other jobs.
     Held,
 }
 
@@ -69,22 +63,17 @@
         if self.waiting.is_empty() {
             return;
         }
-        self.speeds.begin_pass();
         self.refresh_candidates(now);
         let mut run_requests: BTreeMap<Name, Vec<RunRequest>> = BTreeMap::new();
-        let (mut skipped, mut held) = (0, 0);
+        let mut skipped = 0;
         let mut full_queues: SmallVec<[Name; 2]> = SmallVec::new();
         let mut next = self.waiting.keys().next().copied();
         while let Some(rank) = next {
-            if !self.workers.has_candidates()
-                || skipped >= MAX_SKIPPED_JOBS
-                || held >= MAX_HELD_JOBS
-            {
+            if !self.workers.has_candidates() || skipped >= MAX_SKIPPED_JOBS {
                 break;
             }
             match self.place_unless_full(rank.2, &mut full_queues, &mut run_requests, now) {
-                Placed::All | Placed::QueueFull => {}
-                Placed::Held => held += 1,
+                Placed::All | Placed::Held | Placed::QueueFull => {}
                 Placed::NoRoom => skipped += 1,
             }
             self.rank_after_placement(rank, now);
@@ -143,7 +132,6 @@
             return Placed::All;
         };
         let mut placed = Placed::All;
-        let mut waits_for_speed = 0;
         for pos in job.waiting() {
             let Some(conditions) = self.conditions(number, pos, now) else {
                 break;
@@ -152,30 +140,22 @@
                 placed = Placed::Held;
                 continue;
             }
-            let chosen = match self.choose(number, pos, conditions) {
-                Choice::Take(chosen) => chosen,
-                Choice::Wait => {
-                    waits_for_speed += 1;
-                    placed = Placed::Held;
-                    continue;
-                }
-                Choice::NoRoom => {
-                    self.remember_no_room(number, pos, conditions);
-                    match conditions {
-                        Conditions {
-                            isolation: Isolation::Shared,
-                            limit: None,
-                            ..
-                        } => return Placed::NoRoom,
-                        Conditions {
-                            isolation: Isolation::Shared,
-                            limit: Some(_),
-                            ..
-                        } => return Placed::QueueFull,
-                        Conditions { .. } => {
-                            placed = Placed::Held;
-                            continue;
-                        }
+            let Some(chosen) = self.choose(number, pos, conditions) else {
+                self.remember_no_room(number, pos, conditions);
+                match conditions {
+                    Conditions {
+                        isolation: Isolation::Shared,
+                        limit: None,
+                        ..
+                    } => return Placed::NoRoom,
+                    Conditions {
+                        isolation: Isolation::Shared,
+                        limit: Some(_),
+                        ..
+                    } => return Placed::QueueFull,
+                    Conditions { .. } => {
+                        placed = Placed::Held;
+                        continue;
                     }
                 }
             };
@@ -200,11 +180,6 @@
             log::debug!(run:% = run_request.id, worker:% = name, waited_ms = waited(&self.jobs[&number], now); "run sent");
             run_requests.entry(name).or_default().push(run_request);
         }
-        if waits_for_speed > 0
-            && let Some(job) = self.jobs.get(&number)
-        {
-            self.speeds.add_waiting(&job.queue, waits_for_speed);
-        }
         placed
     }
 
@@ -314,51 +289,28 @@
         }
     }
 
-    /// Chooses the best worker for a task. Workers on which the task failed come last.
+    /// Returns the best worker for a task. Workers on which the task failed come last.
     pub(super) fn choose(
         &self,
         number: JobNumber,
         pos: TaskPos,
         conditions: Conditions,
-    ) -> Choice<Name> {
-        let Some(job) = self.jobs.get(&number) else {
-            return Choice::NoRoom;
-        };
-        let avoid = job.task(pos).map_or(&[][..], |task| &task.avoid);
-        let mut fitting: SmallVec<[&Candidate; 16]> = self.options(job, pos, conditions).collect();
-        // The first of several equal offers is taken.
-        fitting.sort_unstable_by(|a, b| a.name.cmp(&b.name));
-        let offer = |candidate: &&Candidate| Offer {
-            avoided: avoid.contains(&candidate.name),
-            cost: match conditions.isolation {
+    ) -> Option<Name> {
+        let job = self.jobs.get(&number)?;
+        let task = job.task(pos)?;
+        let rated = self.options(job, pos, conditions).map(|candidate| {
+            let avoided = task.avoid.contains(&candidate.name);
+            let cost = match conditions.isolation {
                 Isolation::Shared | Isolation::Spaced => self.rate(job, pos, candidate),
                 Isolation::Alone => load(candidate.info.capacity, candidate.free),
-            },
-            factor: candidate.factor,
-        };
-        let offers: SmallVec<[Offer; 16]> = fitting.iter().map(offer).collect();
-        let need = self.need(job, pos, conditions);
-        match worker_choice::choose(&offers, need, self.speeds.fleet(&job.queue.service)) {
-            Choice::Take(chosen) => Choice::Take(fitting[chosen].name.clone()),
-            Choice::Wait => Choice::Wait,
-            Choice::NoRoom => Choice::NoRoom,
-        }
-    }
-
-    fn need(&self, job: &Job, pos: TaskPos, conditions: Conditions) -> Need {
-        let step = job.step(pos);
-        let is_free = conditions.isolation == Isolation::Shared && conditions.limit.is_none();
-        let may_wait = is_free
-            && step.label.is_none()
-            && step.data_label.is_none()
-            && step.max_per_worker.is_none();
-        let factor = self.estimates.factor(&job.queue.name);
-        Need {
-            run: Duration::from_millis(step.expected_ms.into()).mul_f64(factor),
-            left: job.due().saturating_duration_since(conditions.now),
-            tasks: u16::try_from(job.waiting().len()).unwrap_or(u16::MAX),
-            wait: may_wait.then(|| self.speeds.expected_wait(&job.queue)),
-        }
+            };
+            (avoided, cost, &candidate.name)
+        });
+        let best = rated.min_by(|a, b| {
+            let cost = || a.1.total_cmp(&b.1);
+            a.0.cmp(&b.0).then_with(cost).then_with(|| a.2.cmp(b.2))
+        });
+        best.map(|(_, _, name)| name.clone())
     }
 
     /// Returns the placement cost of a worker for a task; lower is better.
@@ -401,7 +353,6 @@
             priority: job.queue.priority,
         };
         let worker = self.workers.get_mut(worker)?;
-        self.speeds.add_start(&job.queue, worker.slowness());
         let name = worker.name.clone();
         worker.record_sent(&run_request, now);
         self.record_place(number, pos, &name, now);
--- a/crates/masticcross-jobs/src/scheduler/table.rs
+++ b/crates/masticcross-jobs/src/scheduler/table.rs
@@ -94,8 +94,6 @@
     pub arrived: Instant,
     /// Time within which the answer should arrive.
     pub objective: Duration,
-    /// Factor on the expected run times when the end of the job is estimated.
-    pub time_factor: f64,
     /// True once a run that may have started has ended.
     pub ran: bool,
     /// When the first run was sent.
@@ -132,7 +130,6 @@
             queue,
             arrived,
             objective,
-            time_factor: 1.0,
             ran: false,
             first_sent: None,
             runs: 0,
@@ -297,7 +294,7 @@
         let steps = self.request.steps.iter().zip(&self.tasks);
         let open = steps.filter(|(_, tasks)| tasks.iter().any(|t| waits(&t)));
         let longest = open.map(|(step, _)| step.expected_ms).max().unwrap_or(0);
-        Duration::from_millis(longest.into()).mul_f64(self.time_factor)
+        Duration::from_millis(longest.into())
     }
 
     /// Returns the expected time from the start of a step to the end of the job.
--- a/crates/masticcross-jobs/src/scheduler/tests/totals.rs
+++ b/crates/masticcross-jobs/src/scheduler/tests/totals.rs
@@ -9,7 +9,6 @@
 use crate::scheduler::table::Job;
 use crate::scheduler::worker::Worker;
 use crate::scheduler::workers::WorkerTotals;
-use crate::worker_choice::Choice;
 
 /// Numbers that choose an operation, and what it is applied to.
 type Operation = (u8, u8, u8);
@@ -141,11 +140,8 @@
 }
 
 impl Scheduler {
-    fn choices(&self, number: JobNumber, now: Instant) -> Vec<Option<Choice<Name>>> {
-        let choice = |pos| {
-            let conditions = self.conditions(number, pos, now)?;
-            Some(self.choose(number, pos, conditions))
-        };
+    fn choices(&self, number: JobNumber, now: Instant) -> Vec<Option<Name>> {
+        let choice = |pos| self.choose(number, pos, self.conditions(number, pos, now)?);
         self.jobs[&number]
             .waiting()
             .into_iter()
--- a/crates/masticcross-jobs/src/scheduler/worker.rs
+++ b/crates/masticcross-jobs/src/scheduler/worker.rs
@@ -12,7 +12,7 @@
 
 use crate::crashes::SPACING;
 use crate::health::Health;
-use crate::worker_speed::WorkerSpeed;
+use crate::run_times::{RunTimes, Speed};
 
 use super::SessionId;
 
@@ -22,6 +22,9 @@
 /// Cost added for a worker in another availability zone than the entry's.
 const OTHER_ZONE_PENALTY: f64 = 0.1;
 
+/// Slowness from which a worker gets only one task at a time, which shows whether it is still slow.
+const SLOW_THRESHOLD: f64 = 2.0;
+
 /// State of a worker at an entry.
 #[derive(Debug)]
 pub struct Worker {
@@ -43,8 +46,7 @@
     pub health: Health,
     /// Runs of this entry that may be at the worker.
     pub running: u32,
-    /// Speed according to the ends of its runs.
-    pub speed: WorkerSpeed,
+    speed: Speed,
     /// Free resources that the agent announced last.
     free: Resources,
     /// Number of run requests sent on the open session.
@@ -67,7 +69,7 @@
             spaced_until: None,
             health: Health::without_ramp(now),
             running: 0,
-            speed: WorkerSpeed::default(),
+            speed: Speed::default(),
             free: Resources::default(),
             sent: 0,
             unacknowledged: VecDeque::new(),
@@ -76,9 +78,6 @@
 
     /// Resets the state that belongs to a session when a new one opens.
     pub fn open(&mut self, incarnation: Incarnation, session: SessionId, now: Instant) {
-        if self.incarnation != incarnation {
-            self.speed = self.speed.restarted();
-        }
         self.incarnation = incarnation;
         self.session = Some(session);
         self.set_info(None, now);
@@ -153,18 +152,22 @@
         self.health.sent();
     }
 
+    /// Adds the ratio of a task's run time to its expected run time.
+    pub fn observe(&mut self, ratio: f64, all: &RunTimes) {
+        self.speed.add(Duration::from_secs_f64(ratio), all);
+    }
+
     /// Returns the factor by which tasks take longer on this worker than elsewhere.
     #[must_use]
     pub fn slowness(&self) -> f64 {
-        self.speed.factor()
+        self.speed.slowness()
     }
 
-    /// Returns the number of further runs that this entry may send to the worker now. A degraded worker
-    /// gets one at a time, which shows whether it is still slow.
+    /// Returns the number of further runs that this entry may send to the worker now.
     #[must_use]
     pub fn slots(&self, now: Instant) -> u32 {
         let limit = self.health.limit(now);
-        let limit = if self.speed.is_degraded() {
+        let limit = if self.slowness() >= SLOW_THRESHOLD {
             limit.min(1)
         } else {
             limit
--- a/crates/masticcross-jobs/src/scheduler/workers.rs
+++ b/crates/masticcross-jobs/src/scheduler/workers.rs
@@ -17,7 +17,6 @@
 
 use super::worker::Worker;
 use crate::crashes::confinement::Place;
-use crate::worker_speed::WorkerSpeed;
 
 /// Position in the sequence of changes of workers.
 pub(super) type Stamp = u64;
@@ -31,8 +30,6 @@
     pub slots: u32,
     /// Placement cost as of [`Worker::cost`].
     pub cost: f64,
-    /// Factor on run times as of [`Worker::slowness`].
-    pub factor: f64,
     /// Position among the workers of the service, if a queue is confined.
     pub place: Option<Place>,
     /// Time until which no further run that may not start close to another one starts here.
@@ -159,21 +156,6 @@
         Some(&mut tracked.worker)
     }
 
-    /// Sets the speed of a worker, which counts as changed only if its factor or its limit of runs differs.
-    pub fn set_speed(&mut self, name: &str, speed: WorkerSpeed) {
-        let Some(tracked) = self.all.get_mut(name) else {
-            return;
-        };
-        let before = std::mem::replace(&mut tracked.worker.speed, speed);
-        let after = &tracked.worker.speed;
-        #[expect(clippy::float_cmp, reason = "any change counts")]
-        let is_same =
-            before.factor() == after.factor() && before.is_degraded() == after.is_degraded();
-        if !is_same {
-            self.get_mut(name);
-        }
-    }
-
     pub fn insert(&mut self, worker: Worker) {
         let name = worker.name.clone();
         if let Some(present) = self.get_mut(&name) {
@@ -346,7 +328,6 @@
         free,
         slots,
         cost: worker.cost(zone, free),
-        factor: worker.slowness(),
         place: None,
         spaced_until: worker.spaced_until,
     })
