Divide free resources by demand only if the settings say so

Cause: most urgent priority first costs the callers of the least urgent one, and deployments that did not ask for it have to be served as before. Agents need no setting: without demand they announce as before.

--- a/crates/masticcross-jobs/src/entry.rs
+++ b/crates/masticcross-jobs/src/entry.rs
@@ -73,6 +73,8 @@
     callers: FxHashMap<JobNumber, Vec<Waiter>>,
     entries: BTreeMap<Name, EntryAddr>,
     peers: PeerState,
+    /// True if agents are told the waiting work, by which they divide free resources.
+    announces_demand: bool,
 }
 
 impl Entry {
@@ -102,6 +104,7 @@
             callers: FxHashMap::default(),
             entries: BTreeMap::from([(own_addr.name.clone(), own_addr)]),
             peers: PeerState::new(&identity, handover_metrics),
+            announces_demand: false,
         };
         Ok(Arc::new(Self {
             identity,
@@ -117,6 +120,12 @@
         self.state.lock().scheduler.set_remote_factor(factor);
     }
 
+    /// Makes the entry announce its waiting work to the agents, which divide free resources among the
+    /// entries by it, most urgent priority first. It must be set before [`Entry::run`].
+    pub fn announce_demand(&self) {
+        self.state.lock().announces_demand = true;
+    }
+
     /// Serves the sessions of agents until the process ends.
     pub async fn run(self: Arc<Self>, links: mpsc::Receiver<Link>) {
         tokio::join!(self.clone().accept(links), self.clone().tick_loop());
@@ -418,7 +427,9 @@
     ) {
         match frame {
             PoolFrame::Probe(probe) => {
-                if let Some(demand) = state.scheduler.demand(agent, session, now) {
+                if state.announces_demand
+                    && let Some(demand) = state.scheduler.demand(agent, session, now)
+                {
                     state.send(session, PoolFrame::Demand(demand));
                 }
                 state.send(session, PoolFrame::Echo(probe));
