--- a/review/rig.rs
+++ b/review/rig.rs
@@ -41,7 +41,7 @@
 }
 
 static RECORD: OnceLock<Record> = OnceLock::new();
-static CHILDREN: Mutex<Vec<Child>> = Mutex::new(Vec::new());
+static CHILDREN: Mutex<Vec<(String, Child)>> = Mutex::new(Vec::new());
 
 fn note(text: &str) {
     let record = RECORD.get().expect("set in main");
@@ -463,10 +463,6 @@
     ended: Vec<(u64, String, u64, &'static str)>,
     ends: u64,
     highest: BTreeMap<String, u64>,
-    draining: bool,
-    drain_acknowledged: bool,
-    /// True after the worker has sent that it leaves. It sends no heartbeats then.
-    left: bool,
     /// True while no process of the worker is up.
     down: bool,
 }
@@ -492,6 +488,10 @@
 struct Fleet {
     world: Mutex<World>,
     changed: Condvar,
+    /// True if the next start is left unanswered and carried out later.
+    delays_next_start: AtomicBool,
+    /// The start that is carried out later, and its worker.
+    delayed_start: Mutex<Option<(usize, Request)>>,
 }
 
 impl Worker {
@@ -507,9 +507,6 @@
             ended: Vec::new(),
             ends: 0,
             highest: BTreeMap::new(),
-            draining: false,
-            drain_acknowledged: false,
-            left: false,
             down: false,
         }
     }
@@ -563,6 +560,16 @@
         }
     }
 
+    /// Ends the process of a worker, and all runs with it.
+    fn crash(&mut self, worker: usize, now: Instant) {
+        self.advance(now);
+        let running = self.workers[worker].running.keys();
+        for task in running.cloned().collect::<Vec<_>>() {
+            self.end(worker, &task, "with the worker", now);
+        }
+        self.workers[worker].down = true;
+    }
+
     fn listing(&self, worker: usize, now: Instant) -> String {
         let state = &self.workers[worker];
         let running = state.running.iter().map(|(task, run)| {
@@ -669,6 +676,19 @@
         self.world.lock().expect("lock")
     }
 
+    /// Executes a call, unless it is a start that is to be carried out later.
+    fn receive(&self, worker: usize, request: Request) -> Option<Answer> {
+        let is_start = request.path == "/-/run-start";
+        if is_start && self.delays_next_start.swap(false, Ordering::Relaxed) {
+            let text = String::from_utf8_lossy(&request.body).into_owned();
+            note!("worker {worker}: leaves a start unanswered: {text}");
+            *self.delayed_start.lock().expect("lock") = Some((worker, request));
+            sleep(ms(1_000));
+            return None;
+        }
+        self.handle(worker, &request)
+    }
+
     fn handle(&self, worker: usize, request: &Request) -> Option<Answer> {
         let body = parse_json(&request.body).unwrap_or(Json::Null);
         let mut world = self.lock();
@@ -780,14 +800,13 @@
     service: &str,
     zone: &str,
     addr: SocketAddr,
-    state: &str,
     born: u64,
     sequence: u64,
     clock: u64,
 ) -> String {
     format!(
         "{{\"Service\":\"{service}\",\"Address\":\"{addr}\",\"Zone\":\"{zone}\",\"Version\":\"v1\",\"Slots\":8,\
-         \"State\":\"{state}\",\"ColdRemainingMs\":0,\"Capacity\":{{\"Cpu\":{CAPACITY},\"MemMb\":16000,\"Gpus\":0}},\
+         \"State\":\"ready\",\"ColdRemainingMs\":0,\"Capacity\":{{\"Cpu\":{CAPACITY},\"MemMb\":16000,\"Gpus\":0}},\
          \"Labels\":[\"a\",\"r1-1\"],\"ClockMs\":{clock},\"Sequence\":{sequence},\"born\":{born}}}"
     )
 }
@@ -807,8 +826,6 @@
     pairs: Arc<Mutex<Vec<Pair>>>,
     /// Tag of the connections that open next.
     tag: Arc<Mutex<String>>,
-    /// True while the link is cut. Bytes that are sent meanwhile are sent again after it is healed.
-    cut: Arc<AtomicBool>,
 }
 
 impl Proxy {
@@ -834,18 +851,14 @@
         let open = Arc::new(AtomicBool::new(true));
         for (from, to) in [(&near, &far), (&far, &near)] {
             let (mut from, mut to, open) = (from.try_clone()?, to.try_clone()?, open.clone());
-            let cut = self.cut.clone();
             spawn(move || {
                 let mut buf = [0; 65_536];
                 while let Ok(len) = from.read(&mut buf) {
-                    wait_while_cut(&cut);
                     if len == 0 || to.write_all(&buf[..len]).is_err() {
                         break;
                     }
                 }
                 open.store(false, Ordering::Relaxed);
-                // The end of a connection arrives after the last bytes.
-                sleep(ms(2));
                 let _ = to.shutdown(std::net::Shutdown::Both);
             });
         }
@@ -880,24 +893,6 @@
     }
 }
 
-/// Waits while a link is cut, and from its healing until the next retransmission: 0.2 s after the first
-/// transmission, and after twice the time each.
-fn wait_while_cut(cut: &AtomicBool) {
-    if !cut.load(Ordering::Relaxed) {
-        return;
-    }
-    let (sent, mut retransmission) = (Instant::now(), ms(200));
-    let mut sum = retransmission;
-    while cut.load(Ordering::Relaxed) {
-        sleep(ms(5));
-    }
-    while sum < sent.elapsed() {
-        retransmission *= 2;
-        sum += retransmission;
-    }
-    sleep(sum.saturating_sub(sent.elapsed()));
-}
-
 extern "C" {
     fn connect(fd: i32, addr: *const u8, len: u32) -> i32;
     fn kill(pid: i32, signal: i32) -> i32;
@@ -905,6 +900,7 @@
 }
 
 const SIGCONT: i32 = 18;
+const SIGSTOP: i32 = 19;
 const SIGKILL: u64 = 9;
 const PR_SET_PDEATHSIG: i32 = 1;
 
@@ -928,9 +924,6 @@
     sessions: Vec<Proxy>,
     /// Proxies of the callers of each entry.
     fronts: Vec<Proxy>,
-    /// Proxies of the calls of each worker to its agent, and of the agent to its worker.
-    controls: Vec<Proxy>,
-    apps: Vec<Proxy>,
     next_job: Mutex<u64>,
 }
 
@@ -971,8 +964,6 @@
             fleet: Arc::default(),
             sessions: Vec::new(),
             fronts: Vec::new(),
-            controls: Vec::new(),
-            apps: Vec::new(),
             next_job: Mutex::new(unix_ms()),
         };
         deployment.start_stand_ins(workers)?;
@@ -980,13 +971,6 @@
             deployment.start_entry(entry, entries)?;
         }
         for agent in 0..workers {
-            let (control, app) = (deployment.control(agent), deployment.worker_addr(agent));
-            deployment
-                .controls
-                .push(Proxy::start(deployment.addr(9, agent), control)?);
-            deployment
-                .apps
-                .push(Proxy::start(deployment.addr(10, agent), app)?);
             for proxy in &deployment.sessions {
                 *proxy.tag.lock().expect("lock") = agent.to_string();
             }
@@ -1017,7 +1001,7 @@
             self.fleet.lock().workers.push(state);
             let fleet = self.fleet.clone();
             serve(self.worker_addr(worker), move |request| {
-                fleet.handle(worker, &request)
+                fleet.receive(worker, request)
             })?;
         }
         let fleet = self.fleet.clone();
@@ -1034,45 +1018,28 @@
     fn start_heartbeats(&self, worker: usize) {
         let (fleet, control, addr) = (
             self.fleet.clone(),
-            self.addr(9, worker),
-            self.addr(10, worker),
+            self.control(worker),
+            self.worker_addr(worker),
         );
         spawn(move || {
             for sequence in 1.. {
-                let (id, born, clock, state, down) = {
+                let (id, born, clock, down) = {
                     let world = fleet.lock();
                     let worker = &world.workers[worker];
-                    let state = if worker.draining { "draining" } else { "ready" };
-                    (
-                        worker.id.clone(),
-                        worker.born,
-                        worker.clock_ms(Instant::now()),
-                        state,
-                        worker.down || worker.left,
-                    )
+                    let clock = worker.clock_ms(Instant::now());
+                    (worker.id.clone(), worker.born, clock, worker.down)
                 };
                 if down {
                     sleep(ms(20));
                     continue;
                 }
-                let body = heartbeat(SERVICE, zone(worker), addr, state, born, sequence, clock);
+                let body = heartbeat(SERVICE, zone(worker), addr, born, sequence, clock);
                 let path = format!("/-/Instances.Heartbeat/{id}");
                 let sent = call(control, "POST", &path, &[], &body, ms(1_000));
                 let answered = sent.is_ok_and(|(status, _)| status == 200);
-                if answered && state == "draining" {
-                    let worker = &mut fleet.lock().workers[worker];
-                    if worker.born == born {
-                        worker.drain_acknowledged = true;
-                    }
-                }
-                // A change of the state is reported at once.
+                // A new incarnation reports itself at once.
                 let until = Instant::now() + if answered { ms(1_500) } else { ms(200) };
-                let is_same = || {
-                    let world = fleet.lock();
-                    let worker = &world.workers[worker];
-                    worker.born == born && worker.draining == (state == "draining")
-                };
-                while Instant::now() < until && is_same() {
+                while Instant::now() < until && fleet.lock().workers[worker].born == born {
                     sleep(ms(20));
                 }
             }
@@ -1107,7 +1074,7 @@
         ) + &format!(
             "control = \"{}\"\nworker = \"{}\"\n",
             self.control(agent),
-            self.addr(10, agent)
+            self.worker_addr(agent)
         );
         self.spawn_program("agent", &format!("side-{agent}"), &settings)?;
         self.start_heartbeats(agent);
@@ -1155,7 +1122,8 @@
             "{name} started: {PROGRAM} {command}, process {}",
             child.id()
         );
-        CHILDREN.lock().expect("lock").push(child);
+        let mut children = CHILDREN.lock().expect("lock");
+        children.push((name.to_owned(), child));
         Ok(())
     }
 
@@ -1268,7 +1236,7 @@
 
 fn end_children() {
     let mut children = CHILDREN.lock().expect("lock");
-    for child in children.iter_mut() {
+    for (_, child) in children.iter_mut() {
         // SAFETY: the process was started by this one and has not been waited for.
         unsafe { kill(child.id() as i32, SIGCONT) };
         let _ = child.kill();
@@ -1331,7 +1299,7 @@
         "reset-while-running" => reset_while_running(),
         "foreign-heartbeat" => foreign_heartbeat(),
         "old-end-after-reset" => old_end_after_reset(),
-        "late-leave" => late_leave(),
+        "late-start" => late_start(),
         "cancel-at-other-node" => cancel_at_other_node(),
         _ => Err(format!("unknown case {case}")),
     }
@@ -1392,8 +1360,8 @@
             .ok_or("the task has ended early")?;
         if has_trouble() {
             let id = format!("x-{round}");
-            let addr = deployment.addr(10, worker);
-            let body = heartbeat("other9z", zone(worker), addr, "ready", unix_ms(), 1, 77_000);
+            let addr = deployment.worker_addr(worker);
+            let body = heartbeat("other9z", zone(worker), addr, unix_ms(), 1, 77_000);
             note!("another writer: heartbeat of {id} with service other9z at side-{worker}");
             let path = format!("/-/Instances.Heartbeat/{id}");
             let answer = call(
@@ -1511,79 +1479,51 @@
     Ok(violations)
 }
 
-/// A worker leaves as planned while it is cut off from its agent, and starts again under its id. Its call
-/// that it leaves arrives after the new incarnation has registered.
-fn late_leave() -> Result<Vec<String>> {
-    let deployment = Arc::new(Deployment::start(1, 3)?);
-    let (fleet, worker) = (deployment.fleet.clone(), 1);
+/// A worker leaves a start unanswered, crashes and is back under its id while its agent is suspended, and
+/// carries the start out then. The task runs elsewhere meanwhile.
+fn late_start() -> Result<Vec<String>> {
+    let deployment = Arc::new(Deployment::start(1, 2)?);
+    let fleet = &deployment.fleet;
     for _ in 0..3 {
-        let (id, born) = {
-            let state = &mut fleet.lock().workers[worker];
-            state.draining = true;
-            (state.id.clone(), state.born)
-        };
-        let is_acknowledged = || fleet.lock().workers[worker].drain_acknowledged;
-        wait_for(
-            "the acknowledgement of the drain",
-            ms(3_000),
-            is_acknowledged,
-        )?;
-        note!("worker {worker}: draining is acknowledged");
-        sleep(ms(2_200));
-        let control = deployment.addr(9, worker);
-        let mut leaving =
-            TcpStream::connect_timeout(&control, ms(500)).map_err(|e| e.to_string())?;
-        sleep(ms(100));
-        let links = [&deployment.controls[worker], &deployment.apps[worker]];
-        if has_trouble() {
-            note!("cut: worker {worker} from its agent");
-            links
-                .iter()
-                .for_each(|link| link.cut.store(true, Ordering::Relaxed));
-        }
-        let leave = format!("{{\"born\":{born}}}");
-        note!("worker {worker}: POST /-/Instances.Leave/{id} {leave}");
-        let text = format!(
-            "POST /-/Instances.Leave/{id} HTTP/1.1\r\nHost: {control}\r\nContent-Type: application/json\r\n\
-             Content-Length: {}\r\n\r\n{leave}",
-            leave.len()
-        );
-        fleet.lock().workers[worker].left = true;
-        leaving
-            .write_all(text.as_bytes())
-            .map_err(|e| e.to_string())?;
-        // Without an answer the worker ends some time later.
-        leaving
-            .set_read_timeout(Some(ms(2_000)))
-            .map_err(|e| e.to_string())?;
-        let answered = leaving.read(&mut [0; 1_024]).is_ok_and(|len| len > 0);
-        note!(
-            "worker {worker}: its leave is {}",
-            if answered {
-                "acknowledged"
-            } else {
-                "not answered"
-            }
-        );
-        fleet.lock().workers[worker].down = true;
-        note!("worker {worker}: ended");
-        drop(leaving);
-        sleep(ms(700));
-        fleet.lock().workers[worker] = Worker::new(&id, unix_ms());
-        note!("worker {worker}: started again as {id}");
-        sleep(ms(1_300));
-        if has_trouble() {
-            note!("the cut is healed");
-            links
-                .iter()
-                .for_each(|link| link.cut.store(false, Ordering::Relaxed));
-        }
-        // The leave is retransmitted 6.2 s after it was sent, 2.2 s after the cut.
-        sleep(ms(1_400));
         let job = deployment.new_job();
-        let body = body("ms=2500;cpu=1000", &[(6, 2_500, "")]);
-        let _ = deployment.submit(0, &job, &body, 10_000);
-        sleep(ms(1_000));
+        let body = body("ms=5000;cpu=1000", &[(1, 5_000, "")]);
+        fleet
+            .delays_next_start
+            .store(has_trouble(), Ordering::Relaxed);
+        let waiting = deployment.submit_in_background(0, "client", &job, &body, 12_000);
+        wait_for("the start of the task", ms(3_000), || {
+            !fleet.at_work(&job).is_empty()
+        })?;
+        let delayed = fleet.delayed_start.lock().expect("lock").take();
+        if let Some((worker, start)) = delayed {
+            sleep(ms(800));
+            signal(&format!("side-{worker}"), SIGSTOP);
+            sleep(ms(500));
+            let id = fleet.lock().workers[worker].id.clone();
+            note!("worker {worker}: crashes");
+            fleet.lock().crash(worker, Instant::now());
+            sleep(ms(600));
+            fleet.lock().workers[worker] = Worker::new(&id, unix_ms());
+            note!("worker {worker}: is back as {id}");
+            sleep(ms(600));
+            let answer = fleet.handle(worker, &start);
+            let status = answer.map(|(status, _)| status);
+            note!("worker {worker}: carries out the start: {status:?}");
+            sleep(ms(1_200));
+            signal(&format!("side-{worker}"), SIGCONT);
+        }
+        let _ = waiting.join().map_err(|_| "a client failed")?;
+        sleep(ms(3_000));
     }
     Ok(fleet.violations("TWICE"))
 }
+
+/// Sends a signal to a process of the deployment.
+fn signal(name: &str, number: i32) {
+    note!("signal {number} to {name}");
+    let children = CHILDREN.lock().expect("lock");
+    for (_, child) in children.iter().filter(|(child, _)| child == name) {
+        // SAFETY: the process was started by this one and has not been waited for.
+        unsafe { kill(child.id() as i32, number) };
+    }
+}
