Stop the runs that an agent lists for a job that the entry no longer has

The connections of an entry are reset: that of a client and the session with the agent of its run. The client sends the job again 1.3 s later at another entry, and the task runs there beside the first run.

Cause: the entry ends the job while it has no session with the agent, so that no stop is sent. The agent opens its session again within some 30 ms, is in contact again and extends the lease until the end. It lists the run in Resume.running, but the entry compared that list only with the runs it still wanted. The missing property: what an agent runs for an entry is what the entry wants, in both directions, after each opening of a session. It was missing on three paths: the job ended without a session; the stop was sent and lost with the session; the task was sent elsewhere after LOST_CONTACT_TIMEOUT.

Change: with each Resume, complete or not, the entry sends a stop for every listed run that is not the current run of its task at that worker.

No message is added unless an unwanted run is listed.

Ruled out: an earlier end of the agent's authority (600 ms), as the agent has contact again after 30 ms.

--- a/crates/masticcross-jobs/src/scheduler/ends.rs
+++ b/crates/masticcross-jobs/src/scheduler/ends.rs
@@ -4,7 +4,7 @@
 
 use masticcross_basics::Name;
 use masticcross_wire::NotStartedReason;
-use masticcross_wire::pool::{RunEnd, RunId, RunResult};
+use masticcross_wire::pool::{PoolFrame, RunEnd, RunId, RunResult};
 use tokio::time::Instant;
 
 use crate::crashes::SPACING;
@@ -12,7 +12,7 @@
 use crate::job::JobOutcome;
 
 use super::table::{JobNumber, TaskPos, TaskState};
-use super::{LOST_CONTACT_TIMEOUT, Scheduler};
+use super::{Effect, LOST_CONTACT_TIMEOUT, Scheduler, SessionId};
 
 /// Delay of a task whose earlier run still occupies resources at a worker.
 const DUPLICATE_RUN_DELAY: Duration = Duration::from_millis(200);
@@ -78,6 +78,42 @@
         }
     }
 
+    /// Stops the runs that an agent lists and this entry does not want: their jobs have ended, or
+    /// their tasks were sent elsewhere, while there was no session on which a stop could be sent.
+    pub(super) fn stop_unwanted_runs(
+        &mut self,
+        name: &Name,
+        session: SessionId,
+        running: &[RunId],
+    ) {
+        let unwanted = running.iter().filter(|run| !self.is_placed(name, run));
+        let unwanted: Vec<RunId> = unwanted.cloned().collect();
+        if unwanted.is_empty() {
+            return;
+        }
+        for run in &unwanted {
+            log::info!(run:%, worker:% = name, session; "run that the agent still has is stopped");
+        }
+        self.effects
+            .push(Effect::Send(session, PoolFrame::Stop(unwanted)));
+    }
+
+    /// Returns true if a run is the current one of its task and may be at the worker.
+    fn is_placed(&self, name: &Name, run: &RunId) -> bool {
+        let job = self.by_id.get(&run.task.job);
+        let job = job.and_then(|number| self.jobs.get(number));
+        let task = job.and_then(|job| job.task((run.task.step, run.task.index)));
+        task.is_some_and(|task| {
+            task.run == run.run
+                && match &task.state {
+                    TaskState::Running(worker) | TaskState::Unreachable(worker, _) => {
+                        worker == name
+                    }
+                    _ => false,
+                }
+        })
+    }
+
     /// Marks unreachable runs as lost at a worker that can be used again. Its agent has then either
     /// reported its runs, or is a new process that has stopped all earlier runs at the worker.
     pub(super) fn reconcile_unreachable(&mut self, name: &Name, now: Instant) {
--- a/crates/masticcross-jobs/src/scheduler/mod.rs
+++ b/crates/masticcross-jobs/src/scheduler/mod.rs
@@ -377,6 +377,7 @@
         if resume.complete {
             self.reconcile_runs(name, &resume.running, now);
         }
+        self.stop_unwanted_runs(name, session, &resume.running);
         self.place(now);
     }
 
--- a/crates/masticcross-jobs/src/scheduler/tests.rs
+++ b/crates/masticcross-jobs/src/scheduler/tests.rs
@@ -142,6 +142,13 @@
         self.step(|s, now| s.worker_changed(&name, session, Some(info), now));
     }
 
+    /// Opens the session of an agent again, which lists its runs.
+    fn resume_after_reset(&mut self, session: SessionId, running: Vec<RunId>, complete: bool) {
+        let name = name(session);
+        self.step(|s, now| s.session_opened(&name, 1, session, now));
+        self.resume(session, running, complete);
+    }
+
     fn submit(&mut self, request: JobRequest) -> JobNumber {
         self.step(|s, now| s.submit(request, now))
             .expect("accepted")
@@ -669,6 +676,44 @@
         assert_eq!((f.sent.len(), f.outcomes()), (0, vec![]));
     };
 
+    // Guards against a run that goes on at its worker beside the next attempt of its job, which ended
+    // while the session on which the run is stopped was broken.
+    a_run_of_a_job_that_ended_without_a_session_is_stopped_when_one_opens => |_| {
+        let mut f = Fixture::with_worker(8);
+        let number = f.submit(f.job("a", smallvec![tasks(2, 2)]));
+        let sent: Vec<RunId> = f.sent.iter().map(|(_, request)| request.id.clone()).collect();
+        f.disconnect(1);
+        f.step(|s, now| s.cancel(number, now));
+        f.reconnect(1, sent.clone(), vec![]);
+        assert_eq!(f.stopped, sent);
+    };
+
+    // Guards against the same if the stop was sent and lost with its session.
+    a_stop_that_was_lost_with_its_session_is_sent_again => |_| {
+        let mut f = Fixture::with_worker(8);
+        let number = f.submit(f.job("a", smallvec![tasks(1, 2)]));
+        let run = f.sent[0].1.id.clone();
+        f.step(|s, now| s.cancel(number, now));
+        f.disconnect(1);
+        f.resume_after_reset(1, vec![run.clone()], false);
+        assert_eq!(f.stopped, vec![run.clone(), run]);
+    };
+
+    // Guards against two runs of a task after it was sent to another worker.
+    a_run_of_a_task_that_was_sent_elsewhere_is_stopped_when_its_session_opens => |_| {
+        let mut f = Fixture::with_worker(8);
+        f.connect(2, 1, worker("zone-a", 8));
+        let mut job = f.job("a", smallvec![tasks(1, 2)]);
+        job.steps[0].expected_ms = 2_000;
+        f.submit(job);
+        let (first, run) = (f.sent[0].0, f.sent[0].1.id.clone());
+        f.disconnect(first);
+        f.advance(LOST_CONTACT_TIMEOUT);
+        assert_eq!(f.sent.len(), 2, "the task is sent elsewhere");
+        f.reconnect(first, vec![run.clone()], vec![]);
+        assert_eq!((f.stopped.clone(), f.sent.len()), (vec![run], 2));
+    };
+
     a_job_is_stopped_when_its_deadline_passes => |_| {
         let mut f = Fixture::with_worker(8);
         f.submit(f.job("a", smallvec![tasks(1, 2)]));
