Distinguish the runs of a job that is submitted again from the earlier ones

A client's connection is reset and it sends its job again to the same entry. Then the session with the agent of the task is reset, and the entry starts the task at another worker beside its run.

Cause: the entry numbered the runs of a task from 1 for each submission, so that the runs of both had the same id. After a reset the agent sends the ends of the last 3 s again (Resume.ended), and the entry took the end of the first submission's run for that of the second's. The missing property: a run has one id for the life of the entry's process. It was assumed as well in the list of running runs (Resume.running: a run that is being stopped stood for one that never arrived), in the ends of an unbroken session, in the agent's stops, and with the result "done", which answered the job as completed while its present run went on.

Change: RunId has the number of the submission, unique in the entry's process, and ends are applied to the submission that they name. What the worker calls a run is a type of its own (WorkerRun), which the agent numbers.

A run id is 8 bytes longer at most in memory; no message is added.

Ruled out: keeping run numbers of ended jobs for some seconds. An agent that was suspended sends older ends than any such time.

--- a/crates/masticcross-jobs/src/crashes/tests.rs
+++ b/crates/masticcross-jobs/src/crashes/tests.rs
@@ -94,6 +94,7 @@
     CrashedRun {
         id: RunId {
             task: task(index),
+            submission: 1,
             run: 1,
         },
         queue: "queue".into(),
--- a/crates/masticcross-jobs/src/scheduler/ends.rs
+++ b/crates/masticcross-jobs/src/scheduler/ends.rs
@@ -46,15 +46,8 @@
         let mut missing = Vec::new();
         for number in self.jobs.numbers() {
             let job = &self.jobs[&number];
-            let placed_run = |(pos, task): (TaskPos, &super::table::Task)| match &task.state {
-                TaskState::Running(worker) | TaskState::Unreachable(worker, _)
-                    if worker == name =>
-                {
-                    Some((pos, task.run))
-                }
-                _ => None,
-            };
-            let placed: Vec<(TaskPos, u32)> = job.tasks().filter_map(placed_run).collect();
+            let placed = job.tasks().filter(|(_, task)| task.is_at(name));
+            let placed: Vec<(TaskPos, u32)> = placed.map(|(pos, task)| (pos, task.run)).collect();
             for (pos, run) in placed {
                 let run = self.jobs[&number].run_id(pos, run);
                 if running.contains(&run) {
@@ -100,18 +93,12 @@
 
     /// Returns true if a run is the current one of its task and may be at the worker.
     fn is_placed(&self, name: &Name, run: &RunId) -> bool {
-        let job = self.by_id.get(&run.task.job);
-        let job = job.and_then(|number| self.jobs.get(number));
-        let task = job.and_then(|job| job.task((run.task.step, run.task.index)));
-        task.is_some_and(|task| {
-            task.run == run.run
-                && match &task.state {
-                    TaskState::Running(worker) | TaskState::Unreachable(worker, _) => {
-                        worker == name
-                    }
-                    _ => false,
-                }
-        })
+        let pos = (run.task.step, run.task.index);
+        let Some(job) = self.jobs.get(&run.submission) else {
+            return false;
+        };
+        job.task(pos)
+            .is_some_and(|task| task.is_at(name) && job.run_id(pos, task.run) == *run)
     }
 
     /// Marks unreachable runs as lost at a worker that can be used again. Its agent has then either
@@ -131,20 +118,14 @@
 
     /// Applies the end of a run. Ends of runs other than the task's current one are ignored.
     pub(super) fn run_ended(&mut self, name: &Name, end: &RunEnd, now: Instant) {
-        let Some(&number) = self.by_id.get(&end.id.task.job) else {
+        if !self.is_placed(name, &end.id) {
             return;
-        };
+        }
+        let number = end.id.submission;
         let pos = (end.id.task.step, end.id.task.index);
         let Some(task) = self.jobs.get_mut(&number).and_then(|job| job.task_mut(pos)) else {
             return;
         };
-        let is_at_worker = match &task.state {
-            TaskState::Running(worker) | TaskState::Unreachable(worker, _) => worker == name,
-            _ => false,
-        };
-        if !is_at_worker || task.run != end.id.run {
-            return;
-        }
         task.state = TaskState::Waiting;
         if let Some(worker) = self.workers.get_mut(name) {
             worker.running = worker.running.saturating_sub(1);
--- a/crates/masticcross-jobs/src/scheduler/mod.rs
+++ b/crates/masticcross-jobs/src/scheduler/mod.rs
@@ -238,7 +238,7 @@
         let number = self.next_job;
         self.next_job += 1;
         let id = request.id.clone();
-        let job = Job::new(request, queue, arrived);
+        let job = Job::new(number, request, queue, arrived);
         let view = self.view_status(now);
         log::info!(
             job:% = id, queue:% = job.queue.name, tasks = job.tasks().count(),
--- a/crates/masticcross-jobs/src/scheduler/table.rs
+++ b/crates/masticcross-jobs/src/scheduler/table.rs
@@ -12,7 +12,7 @@
 use super::admission::Work;
 use super::workers::Stamp;
 
-/// Number of a job at this entry.
+/// Number of a job at this entry. A job that is submitted again after its end gets another one.
 pub type JobNumber = u64;
 
 /// Position of a task: step and index.
@@ -74,6 +74,17 @@
     pub place_wait: Option<PlaceWait>,
 }
 
+impl Task {
+    /// Returns true if the task's current run is or may be at a worker.
+    #[must_use]
+    pub fn is_at(&self, worker: &str) -> bool {
+        match &self.state {
+            TaskState::Running(name) | TaskState::Unreachable(name, _) => &**name == worker,
+            _ => false,
+        }
+    }
+}
+
 /// Wait of a task for a worker near its data.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PlaceWait {
@@ -86,6 +97,8 @@
 /// A job that has not ended.
 #[derive(Debug)]
 pub struct Job {
+    /// Its number, which distinguishes its runs from those of another submission of the same job.
+    pub number: JobNumber,
     /// Request of the caller.
     pub request: JobRequest,
     /// Settings of its queue.
@@ -119,13 +132,14 @@
 impl Job {
     /// Creates a job of which no task is placed.
     #[must_use]
-    pub fn new(request: JobRequest, queue: Queue, arrived: Instant) -> Self {
+    pub fn new(number: JobNumber, request: JobRequest, queue: Queue, arrived: Instant) -> Self {
         let chain = Duration::from_millis(request.longest_chain_ms());
         let target = Duration::from_millis(queue.latency_target_ms.into());
         let objective = chain.mul_f64(stretch(&queue)) + target;
         let tasks: Vec<Vec<Task>> = request.steps.iter().map(new_tasks).collect();
         let open = tasks.iter().map(Vec::len).sum();
         Self {
+            number,
             request,
             queue,
             arrived,
@@ -186,11 +200,8 @@
     /// Returns the number of tasks of a step that are or may be at a worker.
     #[must_use]
     pub fn placed_on(&self, step: u16, worker: &str) -> usize {
-        let on = |task: &&Task| match &task.state {
-            TaskState::Running(name) | TaskState::Unreachable(name, _) => &**name == worker,
-            _ => false,
-        };
-        self.tasks[usize::from(step)].iter().filter(on).count()
+        let tasks = self.tasks[usize::from(step)].iter();
+        tasks.filter(|task| task.is_at(worker)).count()
     }
 
     /// Returns the runs that may be at workers.
@@ -233,6 +244,7 @@
                 step: pos.0,
                 index: pos.1,
             },
+            submission: self.number,
             run,
         }
     }
--- a/crates/masticcross-jobs/src/scheduler/tests.rs
+++ b/crates/masticcross-jobs/src/scheduler/tests.rs
@@ -149,6 +149,14 @@
         self.resume(session, running, complete);
     }
 
+    /// Submits a job with one task, cancels it and submits it again. Returns the runs of both.
+    fn submit_twice(&mut self) -> (RunId, RunId) {
+        let number = self.submit(self.job("a", smallvec![tasks(1, 2)]));
+        self.step(|s, now| s.cancel(number, now));
+        self.submit(self.job("a", smallvec![tasks(1, 2)]));
+        (self.sent[0].1.id.clone(), self.sent[1].1.id.clone())
+    }
+
     fn submit(&mut self, request: JobRequest) -> JobNumber {
         self.step(|s, now| s.submit(request, now))
             .expect("accepted")
@@ -763,6 +771,39 @@
         assert!(f.sent.iter().all(|(session, _)| *session == 2));
     };
 
+    // Guards against a task that starts again beside its run, because the end of a run of the job's
+    // earlier submission is taken for that of the present one.
+    an_end_of_an_earlier_submission_is_not_that_of_the_present_run => |_| {
+        for result in [RunResult::Stopped, RunResult::Lost, RunResult::Done] {
+            let mut f = Fixture::with_worker(8);
+            let (first, second) = f.submit_twice();
+            f.end(1, &first, result);
+            assert_eq!((f.sent.len(), f.outcomes()), (2, vec![]), "{result:?}");
+            f.end(1, &second, RunResult::Done);
+            assert_eq!(f.outcomes(), vec![JobOutcome::Completed], "{result:?}");
+        }
+    };
+
+    // Guards against the same when a session opens and the agent sends its recent ends again.
+    an_end_of_an_earlier_submission_in_a_resume_has_no_effect => |_| {
+        let mut f = Fixture::with_worker(8);
+        let (first, second) = f.submit_twice();
+        f.disconnect(1);
+        f.reconnect(1, vec![second], vec![first]);
+        assert_eq!((f.sent.len(), f.outcomes(), f.stopped.len()), (2, vec![], 1));
+    };
+
+    // Guards against a run of an earlier submission that stands for the present one, which did not
+    // arrive: it would be accepted as the answer to a job that is about to be stopped.
+    a_listed_run_of_an_earlier_submission_is_stopped_and_the_present_one_repeated => |_| {
+        let mut f = Fixture::with_worker(8);
+        let (first, _) = f.submit_twice();
+        f.disconnect(1);
+        f.reconnect(1, vec![first.clone()], vec![]);
+        f.free(1, 8, 0);
+        assert_eq!((f.stopped.last(), f.sent.len()), (Some(&first), 3));
+    };
+
     ends_of_earlier_runs_are_ignored => |_| {
         let mut f = Fixture::with_worker(8);
         f.submit(f.job("a", smallvec![tasks(1, 2)]));
--- a/crates/masticcross-jobs/src/scheduler/tests/crashes.rs
+++ b/crates/masticcross-jobs/src/scheduler/tests/crashes.rs
@@ -95,6 +95,7 @@
             step: 0,
             index: 0,
         },
+        submission: 1,
         run: 1,
     }
 }
--- a/crates/masticcross-jobs/src/scheduler/tests/place_wait.rs
+++ b/crates/masticcross-jobs/src/scheduler/tests/place_wait.rs
@@ -289,7 +289,7 @@
         "a",
         smallvec![after(&[]), after(&[]), after(&[0]), after(&[2])],
     );
-    let job = crate::scheduler::table::Job::new(request, super::queue("usual", 1), f.now);
+    let job = crate::scheduler::table::Job::new(1, request, super::queue("usual", 1), f.now);
     let chains = [0, 1, 2, 3].map(|step| job.chain_from(step));
     assert_eq!(chains, [ms(300), ms(100), ms(200), ms(100)]);
 }
--- a/crates/masticcross-jobs/src/supervisor/calls.rs
+++ b/crates/masticcross-jobs/src/supervisor/calls.rs
@@ -8,7 +8,7 @@
 
 use crate::worker_client::{
     CallError, PollCall, Result, RunListing, StartAnswer, StartCall, StartOutcome, StopCall,
-    WorkerEnd, WorkerIncarnation,
+    WorkerEnd, WorkerIncarnation, WorkerRun,
 };
 
 use super::runs::Phase;
@@ -180,10 +180,7 @@
             run.stop_sent = Some(now);
             self.effects.push(Effect::Stop(StopCall {
                 incarnation: worker.incarnation.clone(),
-                run: RunId {
-                    task: run.request.id.task.clone(),
-                    run: run.worker_run,
-                },
+                run: run.at_worker(),
                 token,
             }));
         }
@@ -316,7 +313,7 @@
 
     /// Stops runs of an earlier process of this agent. No free resources are announced while they
     /// occupy the worker.
-    fn stop_orphaned(&mut self, orphaned: Vec<RunId>) {
+    fn stop_orphaned(&mut self, orphaned: Vec<WorkerRun>) {
         let Some(worker) = &mut self.worker else {
             return;
         };
@@ -339,10 +336,7 @@
     fn find_missing(&mut self, token: u64, listing: &RunListing, now: Instant) {
         let mut missing = Vec::new();
         for run in self.runs.iter() {
-            let id = RunId {
-                task: run.request.id.task.clone(),
-                run: run.worker_run,
-            };
+            let id = run.at_worker();
             // Another run of the task is a delayed start, which must be stopped before the task may run
             // elsewhere.
             if listing
--- a/crates/masticcross-jobs/src/supervisor/mod.rs
+++ b/crates/masticcross-jobs/src/supervisor/mod.rs
@@ -43,7 +43,7 @@
 use crate::view::encoded::EncodedView;
 use crate::view::fetch::ViewFetch;
 use crate::view::relay::ViewRelay;
-use crate::worker_client::{StartCall, StopCall, WorkerIncarnation};
+use crate::worker_client::{StartCall, StopCall, WorkerIncarnation, WorkerRun};
 
 pub use calls::{POLL_WAIT, START_TIMEOUT};
 use clients::{Client, ClientId, Clients};
@@ -123,7 +123,7 @@
     last_seen_end: u64,
     has_listing: bool,
     /// Runs that an earlier agent process started.
-    orphaned: Vec<RunId>,
+    orphaned: Vec<WorkerRun>,
     /// When the worker last answered a poll.
     last_answer_at: Option<Instant>,
 }
@@ -351,7 +351,7 @@
             let Some(run) = self.runs.get_mut(&id.task) else {
                 continue;
             };
-            if run.client == client && run.request.id.run == id.run {
+            if run.client == client && run.request.id == *id {
                 run.stopping = true;
             }
         }
--- a/crates/masticcross-jobs/src/supervisor/runs.rs
+++ b/crates/masticcross-jobs/src/supervisor/runs.rs
@@ -7,6 +7,8 @@
 use rustc_hash::FxHashMap;
 use tokio::time::Instant;
 
+use crate::worker_client::WorkerRun;
+
 use super::clients::ClientId;
 
 /// Time without progress after which a run counts as stalled.
@@ -72,6 +74,15 @@
 }
 
 impl Run {
+    /// Returns the run as its worker knows it.
+    #[must_use]
+    pub fn at_worker(&self) -> WorkerRun {
+        WorkerRun {
+            task: self.request.id.task.clone(),
+            run: self.worker_run,
+        }
+    }
+
     /// Records the progress that the worker lists.
     pub fn record_progress(&mut self, percent: u32, now: Instant) {
         if percent != self.progress.0 {
--- a/crates/masticcross-jobs/src/supervisor/tests.rs
+++ b/crates/masticcross-jobs/src/supervisor/tests.rs
@@ -22,7 +22,7 @@
 use crate::view::encoded::{EncodedView, PART_BYTES};
 use crate::worker_client::{
     CallError, ListedEnd, ListedRun, PollCall, RunListing, StartAnswer, StartCall, StartOutcome,
-    WorkerEnd, WorkerIncarnation,
+    WorkerEnd, WorkerIncarnation, WorkerRun,
 };
 
 /// Defines one test per case.
@@ -259,13 +259,21 @@
             step: 0,
             index,
         },
+        submission: 1,
         run,
     }
 }
 
+fn at_worker(index: u16) -> WorkerRun {
+    WorkerRun {
+        task: run(index, 1).task,
+        run: 1,
+    }
+}
+
 fn running(index: u16, percent: u32) -> ListedRun {
     ListedRun {
-        run: run(index, 1),
+        run: at_worker(index),
         percent,
     }
 }
@@ -273,7 +281,7 @@
 fn ended(number: u64, index: u16, end: WorkerEnd) -> ListedEnd {
     ListedEnd {
         number,
-        run: run(index, 1),
+        run: at_worker(index),
         end,
     }
 }
@@ -437,6 +445,14 @@
         assert_eq!((f.free_cores(), f.results()), (10, vec![RunResult::Stopped]));
     };
 
+    // Guards against a stop for an earlier submission of a job that ends the run of the present one.
+    a_stop_of_an_earlier_submission_leaves_the_present_run => |mut f: Fixture| {
+        f.start_run(0, 6);
+        let earlier = RunId { submission: 0, ..run(0, 1) };
+        f.step(|s, now| s.stop(SESSION, &[earlier], now));
+        assert_eq!(f.stops(), 0);
+    };
+
     an_unanswered_start_keeps_resources_reserved_until_a_poll_with_a_higher_token => |mut f: Fixture| {
         f.submit(request(0, 6));
         let call = f.take_start().expect("the run fits");
--- a/crates/masticcross-jobs/src/worker_client.rs
+++ b/crates/masticcross-jobs/src/worker_client.rs
@@ -1,8 +1,10 @@
 //! Interface to a worker: the calls by which an agent starts, stops and polls runs.
 
+use std::fmt;
+
 use futures_util::future::BoxFuture;
 use masticcross_basics::Name;
-use masticcross_wire::pool::{RunId, RunRequest};
+use masticcross_wire::pool::{RunRequest, TaskId};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -16,6 +18,22 @@
     pub started_at_ms: u64,
 }
 
+/// A run as its worker knows it. The agent numbers the runs of a task at its worker, whichever entry
+/// and submission they belong to.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct WorkerRun {
+    /// The task.
+    pub task: TaskId,
+    /// Number of the run at the worker; it increases with each start of the task there.
+    pub run: u32,
+}
+
+impl fmt::Display for WorkerRun {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}#{}", self.task, self.run)
+    }
+}
+
 /// Error of a call to a worker.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum CallError {
@@ -82,8 +100,8 @@
 pub struct StopCall {
     /// Incarnation of the worker that the call is meant for.
     pub incarnation: WorkerIncarnation,
-    /// The run, numbered as at the worker.
-    pub run: RunId,
+    /// The run.
+    pub run: WorkerRun,
     /// Fencing token of the call.
     pub token: u64,
 }
@@ -106,8 +124,8 @@
 /// Running run in a listing.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ListedRun {
-    /// The run, numbered as at the worker.
-    pub run: RunId,
+    /// The run.
+    pub run: WorkerRun,
     /// Progress in percent.
     pub percent: u32,
 }
@@ -130,8 +148,8 @@
 pub struct ListedEnd {
     /// Number of the end in this incarnation of the worker.
     pub number: u64,
-    /// The run, numbered as at the worker.
-    pub run: RunId,
+    /// The run.
+    pub run: WorkerRun,
     /// How the run ended.
     pub end: WorkerEnd,
 }
--- a/crates/masticcross-jobs/tests/extreme_input.rs
+++ b/crates/masticcross-jobs/tests/extreme_input.rs
@@ -89,6 +89,7 @@
                 step: 0,
                 index: self.small(),
             },
+            submission: self.small().into(),
             run: self.short(),
         }
     }
--- a/crates/masticcross-jobs/tests/schedule/worker.rs
+++ b/crates/masticcross-jobs/tests/schedule/worker.rs
@@ -5,9 +5,9 @@
 
 use masticcross_jobs::worker_client::{
     CallError, ListedEnd, ListedRun, PollCall, Result, RunListing, StartAnswer, StartCall,
-    StartOutcome, StopCall, WorkerEnd,
+    StartOutcome, StopCall, WorkerEnd, WorkerRun,
 };
-use masticcross_wire::pool::{Resources, RunId, TaskId};
+use masticcross_wire::pool::{Resources, TaskId};
 
 /// A run at the worker. Times are in milliseconds of simulated time.
 struct Running {
@@ -79,7 +79,7 @@
         self.last_end += 1;
         self.ended.push(ListedEnd {
             number: self.last_end,
-            run: RunId {
+            run: WorkerRun {
                 task: task.clone(),
                 run: run.run,
             },
@@ -173,7 +173,7 @@
         }
         self.ended.retain(|entry| entry.number > call.last_seen_end);
         let running = self.running.iter().map(|(task, r)| ListedRun {
-            run: RunId {
+            run: WorkerRun {
                 task: task.clone(),
                 run: r.run,
             },
--- a/crates/masticcross-wire/src/codec/tests/pool.rs
+++ b/crates/masticcross-wire/src/codec/tests/pool.rs
@@ -156,6 +156,7 @@
             step: u16::arbitrary(g),
             index: u16::arbitrary(g),
         },
+        submission: u64::arbitrary(g),
         run: u32::arbitrary(g),
     }
 }
--- a/crates/masticcross-wire/src/pool.rs
+++ b/crates/masticcross-wire/src/pool.rs
@@ -74,12 +74,15 @@
     }
 }
 
-/// One run of a task. The entry numbers runs from 1 for each task.
+/// One run of a task. No two runs of an entry's process have the same id, although a job may be
+/// submitted again under its id, with the same tasks, while ends of its earlier runs are still reported.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct RunId {
     /// The task.
     pub task: TaskId,
-    /// Number of the run.
+    /// Number of the job's submission, unique in the entry's process.
+    pub submission: u64,
+    /// Number of the run within the submission, from 1 for each task.
     pub run: u32,
 }
 
