Use a heartbeat of another incarnation only once the worker confirms it

A heartbeat of another writer, whose service no configuration names, arrives at an agent. The agent takes it for that of a new worker and reports all runs as lost; the entry starts them elsewhere while they go on.

Cause: the agent believed any heartbeat with a start time that is not earlier than its worker's. The missing property: only the worker proves which worker there is, by its answer to a call that is meant for it (X-Expected-Instance, born). Comparing the service alone would leave the same fault to heartbeats with a known service. The property was assumed as well for heartbeats with the worker's own id and a later start time (with 2^64 - 1 the agent ignored its worker for good), for saved reports from the store, and for the service and zone within one incarnation.

Change: a heartbeat of another incarnation, or a saved report, is a claim. The agent polls the worker for it at once, without extending a lease or acknowledging an end, and uses it if the worker answers with this start time. An incarnation keeps its service and zone.

Cost: one poll to the worker on the same host at a start or restart, which took a poll before its resources were offered as well.

Ruled out: the service of the configuration in the agents' summary of the operator view; it disproves some heartbeats and proves none.

--- a/crates/masticcross-jobs/src/agent/calls.rs
+++ b/crates/masticcross-jobs/src/agent/calls.rs
@@ -51,7 +51,7 @@
 
     pub(super) async fn restore_worker_report(self: Arc<Self>) {
         if let Some(report) = self.store.load().await {
-            self.with_supervisor(|supervisor, _| supervisor.restore_report(report));
+            self.with_supervisor(|supervisor, now| supervisor.restore_report(report, now));
             self.worker_changed.notify_one();
         }
     }
--- a/crates/masticcross-jobs/src/supervisor/calls.rs
+++ b/crates/masticcross-jobs/src/supervisor/calls.rs
@@ -30,9 +30,18 @@
 const FULL_LISTING: usize = 500;
 
 impl Supervisor {
-    /// Returns the next poll of the worker, or `None` while there is no worker. `missed` is the
-    /// number of unanswered polls in a row.
+    /// Returns the next poll: for a claimed incarnation, or of the worker. Returns `None` while there is
+    /// neither. `missed` is the number of unanswered polls in a row.
     pub fn next_poll(&mut self, missed: u32, wait: Duration, now: Instant) -> Option<PollCall> {
+        if let Some(incarnation) = self.claims.next(now) {
+            return Some(PollCall {
+                incarnation: Some(incarnation),
+                token: self.lease.token(),
+                lease_until_ms: None,
+                last_seen_end: 0,
+                wait_ms: 0,
+            });
+        }
         let worker = self.worker.as_ref()?;
         let extend = missed < MAX_MISSED_POLLS && !self.runs.is_empty();
         let lease_until_ms = if extend { self.lease.extend(now) } else { None };
@@ -50,6 +59,7 @@
         let same_incarnation =
             self.worker.as_ref().map(|w| &w.incarnation) == call.incarnation.as_ref();
         if !same_incarnation {
+            self.claim_answered(call, answer, now);
             return;
         }
         match answer {
@@ -70,6 +80,39 @@
         self.publish(now);
     }
 
+    /// Handles the answer to a poll for a claimed incarnation. Only the worker's own start time confirms
+    /// the claim; no answer proves nothing.
+    fn claim_answered(&mut self, call: &PollCall, answer: Result<RunListing>, now: Instant) {
+        let Some(claimed) = call.incarnation.as_ref() else {
+            return;
+        };
+        match answer {
+            Ok(listing) if listing.started_at_ms == claimed.started_at_ms => {
+                if let Some(report) = self.claims.take(claimed) {
+                    self.accept(report, now);
+                    self.apply_listing(call.token, &listing, now);
+                }
+            }
+            Ok(_) | Err(CallError::OtherIncarnation) => {
+                if self.claims.take(claimed).is_some() {
+                    log::warn!(
+                        worker:% = claimed.id, born_ms = claimed.started_at_ms;
+                        "ignored a heartbeat: the worker is another one"
+                    );
+                }
+            }
+            Err(CallError::Fenced) => {
+                self.lease.jump_token(call.token);
+                self.claims.ask_again(claimed);
+                self.effects.push(Effect::Poll);
+            }
+            Err(error @ (CallError::Refused(_) | CallError::NoAnswer(_))) => {
+                log::info!(worker:% = claimed.id, error:%; "claimed worker does not answer");
+            }
+        }
+        self.publish(now);
+    }
+
     /// Handles the answer to a start.
     pub fn started(&mut self, call: &StartCall, answer: Result<StartAnswer>, now: Instant) {
         let id = &call.request.id;
@@ -233,11 +276,16 @@
             return;
         }
         if listing.started_at_ms > incarnation.started_at_ms {
-            self.record_crash(now);
-            self.start_incarnation(WorkerIncarnation {
+            let restarted = WorkerIncarnation {
                 id: incarnation.id,
                 started_at_ms: listing.started_at_ms,
-            });
+            };
+            if let Some(report) = self.claims.take(&restarted) {
+                self.accept(report, now);
+            } else {
+                self.record_crash(now);
+                self.start_incarnation(restarted);
+            }
         }
         // The worker was only unresponsive.
         self.silent_loss = None;
--- a/crates/masticcross-jobs/src/supervisor/mod.rs
+++ b/crates/masticcross-jobs/src/supervisor/mod.rs
@@ -6,6 +6,7 @@
 //! - [`clients`]: entries, and how long the agent may act for them.
 //! - `isolation`: runs that must not start close to each other, or run alone.
 //! - `calls`: calls to the worker and its answers.
+//! - `claims`: incarnations of the worker that it has not confirmed.
 //! - `crashes`: crashes of the worker.
 //! - `notifications`: frames sent to entries.
 //! - [`offers`]: division of free resources among the entries.
@@ -15,6 +16,7 @@
 //! which the caller must execute in the order in which they were queued.
 
 mod calls;
+mod claims;
 pub mod clients;
 mod crashes;
 mod isolation;
@@ -46,6 +48,7 @@
 use crate::worker_client::{StartCall, StopCall, WorkerIncarnation, WorkerRun};
 
 pub use calls::{POLL_WAIT, START_TIMEOUT};
+use claims::Claims;
 use clients::{Client, ClientId, Clients};
 use crashes::SilentLoss;
 use lease::Lease;
@@ -113,13 +116,15 @@
     pub offers: OfferCounts,
 }
 
-/// State of the worker in its current incarnation.
+/// State of the worker in its current incarnation, which it has confirmed.
 #[derive(Debug)]
 struct Worker {
     incarnation: WorkerIncarnation,
-    /// Information from the last heartbeat; none before the first one of this incarnation.
+    /// Information from the last heartbeat, or the saved one; none before the first one of this
+    /// incarnation.
     info: Option<WorkerInfo>,
-    sequence: u64,
+    /// Number of the last heartbeat; none before the first one.
+    sequence: Option<u64>,
     last_seen_end: u64,
     has_listing: bool,
     /// Runs that an earlier agent process started.
@@ -128,10 +133,35 @@
     last_answer_at: Option<Instant>,
 }
 
+impl Worker {
+    /// Applies a heartbeat of this incarnation. Returns false if it is out of date or cannot be the
+    /// worker's: an incarnation does not change its service or zone.
+    fn apply_report(&mut self, report: &WorkerReport) -> bool {
+        let is_later = |last: u64| report.sequence >= last;
+        if !self.sequence.is_none_or(is_later) {
+            return false;
+        }
+        let is_same = |info: &WorkerInfo| {
+            (&info.service, &info.zone) == (&report.info.service, &report.info.zone)
+        };
+        if self.sequence.is_some() && !self.info.as_ref().is_none_or(is_same) {
+            log::warn!(
+                worker:% = report.incarnation.id, service:% = report.info.service, zone:% = report.info.zone;
+                "ignored a heartbeat with another service or zone than the worker's"
+            );
+            return false;
+        }
+        self.sequence = Some(report.sequence);
+        self.info = Some(report.info.clone());
+        true
+    }
+}
+
 /// State machine by which an agent controls its worker.
 pub struct Supervisor {
     name: Name,
     worker: Option<Worker>,
+    claims: Claims,
     lease: Lease,
     runs: Runs,
     /// Crashes of the worker, and those that entries announced.
@@ -169,6 +199,7 @@
         Self {
             name: name.into(),
             worker: None,
+            claims: Claims::default(),
             lease: Lease::new(lease, unix_ms),
             runs: Runs::default(),
             crash_log: CrashLog::default(),
@@ -222,53 +253,63 @@
         self.worker.is_some()
     }
 
-    /// Applies a heartbeat of the worker. Returns false if it is out of date.
+    /// Applies a heartbeat. Returns false if it is out of date or not the worker's. One of another
+    /// incarnation is used once the worker has confirmed it.
     pub fn worker_reported(&mut self, report: WorkerReport, now: Instant) -> bool {
         if let Some(worker) = &mut self.worker {
-            let started_at_ms = report.incarnation.started_at_ms;
-            if started_at_ms < worker.incarnation.started_at_ms
-                || (worker.incarnation == report.incarnation && report.sequence < worker.sequence)
-            {
-                return false;
-            }
             if worker.incarnation == report.incarnation {
-                worker.sequence = report.sequence;
-                if worker.info.as_ref() != Some(&report.info) {
-                    worker.info = Some(report.info.clone());
+                let before = worker.info.clone();
+                if !worker.apply_report(&report) {
+                    return false;
+                }
+                if worker.info != before {
                     self.effects.push(Effect::SaveReport(report));
                     self.publish(now);
                 }
                 return true;
             }
+            if report.incarnation.started_at_ms < worker.incarnation.started_at_ms {
+                return false;
+            }
         }
-        let same_id = self
-            .worker
-            .as_ref()
-            .is_some_and(|w| w.incarnation.id == report.incarnation.id);
+        self.claim(report, now)
+    }
+
+    /// Uses a report that an earlier agent process saved once the worker has confirmed its incarnation,
+    /// unless the worker has already sent a heartbeat.
+    pub fn restore_report(&mut self, report: WorkerReport, now: Instant) {
+        if self.worker.is_none() && self.claims.is_empty() {
+            let sequence = 0;
+            self.claim(WorkerReport { sequence, ..report }, now);
+        }
+    }
+
+    /// Asks the worker whether it has the incarnation of a report.
+    fn claim(&mut self, report: WorkerReport, now: Instant) -> bool {
+        let is_new = !self.claims.contains(&report.incarnation);
+        let is_accepted = self.claims.add(report, now);
+        if is_new {
+            self.effects.push(Effect::Poll);
+        }
+        is_accepted
+    }
+
+    /// Starts to use the incarnation of a report, which the worker has confirmed. The runs at an earlier
+    /// worker are lost.
+    fn accept(&mut self, report: WorkerReport, now: Instant) {
+        let current = self.worker.as_ref().map(|worker| &worker.incarnation.id);
+        let same_id = current == Some(&report.incarnation.id);
         self.record_crash(now);
         if !same_id {
             self.mark_all_runs_lost(now);
         }
         self.start_incarnation(report.incarnation.clone());
         if let Some(worker) = &mut self.worker {
-            worker.sequence = report.sequence;
+            // A saved report has no number.
+            worker.sequence = (report.sequence > 0).then_some(report.sequence);
             worker.info = Some(report.info.clone());
         }
         self.effects.push(Effect::SaveReport(report));
-        self.publish(now);
-        true
-    }
-
-    /// Applies a report that an earlier agent process saved, unless the worker has already sent a
-    /// heartbeat. The first poll shows whether the worker still has this incarnation.
-    pub fn restore_report(&mut self, report: WorkerReport) {
-        if self.worker.is_some() {
-            return;
-        }
-        self.start_incarnation(report.incarnation);
-        if let Some(worker) = &mut self.worker {
-            worker.info = Some(report.info);
-        }
     }
 
     /// Starts to track a new incarnation of the worker. Start calls meant for an earlier incarnation
@@ -291,7 +332,7 @@
         self.worker = Some(Worker {
             incarnation,
             info: None,
-            sequence: 0,
+            sequence: None,
             last_seen_end: 0,
             has_listing: false,
             orphaned: Vec::new(),
@@ -308,6 +349,7 @@
             .is_some_and(|w| &*w.incarnation.id == id)
         {
             log::info!(worker = id; "worker left");
+            self.claims.remove_worker(id);
             self.mark_all_runs_lost(now);
             self.worker = None;
             self.publish(now);
@@ -378,6 +420,8 @@
         self.fetch_view(now);
         self.resolve_unanswered(now);
         self.mark_expired_runs_lost(now);
+        let started_at_ms = self.worker.as_ref().map(|w| w.incarnation.started_at_ms);
+        self.claims.remove_outdated(started_at_ms, now);
         let runs = &self.runs;
         let has_runs = |id: &ClientId| runs.iter().any(|run| run.client == *id);
         self.clients.remove_inactive(has_runs, now);
