Ask an agent for its attempts again if a stop may be lost with its session

A task goes on, and keeps its slot, after its job was cancelled or failed, if the session on which the stop was sent breaks.

Cause: the owner remembered only the agents that were disconnected when the job ended. The stop for a connected agent was taken as received.

Change: all agents with attempts of a job that ended are remembered until their next complete report.

Evidence: stop_lost_with_its_session_is_sent_again_after_reconnection fails before (4 passed, 1 failed) and passes after; all tests of masticcross-entry pass. Cost: at most one report for each agent and partition after a session has opened again.

--- a/crates/masticcross-entry/src/owner/job.rs
+++ b/crates/masticcross-entry/src/owner/job.rs
@@ -235,11 +235,10 @@
         agents.into_iter().collect()
     }
 
-    /// Lists the agents that have attempts of the job and are not connected.
-    pub(super) fn disconnected_agents(&self) -> impl Iterator<Item = AgentId> {
+    /// Lists the agents that have attempts of the job.
+    pub(super) fn placed_agents(&self) -> impl Iterator<Item = AgentId> {
         let placed = self.tasks.iter().filter_map(Task::placement);
-        let disconnected = placed.filter(|p| p.connection != Connection::Connected);
-        disconnected.map(|p| p.agent.clone())
+        placed.map(|p| p.agent.clone())
     }
 
     /// Requests that every placed attempt be stopped.
--- a/crates/masticcross-entry/src/owner/shard.rs
+++ b/crates/masticcross-entry/src/owner/shard.rs
@@ -90,7 +90,8 @@
     pub timers: BTreeSet<(Instant, JobKey)>,
     /// Ends of attempts that arrived during a recovery or a handover.
     pub deferred_ends: Vec<(AgentId, TaskEnded)>,
-    /// Disconnected agents that have attempts of ended jobs.
+    /// Agents that had attempts of jobs when these ended and have not reported since. A stop may be lost
+    /// with its session.
     pub pending_stops: BTreeSet<AgentId>,
     /// Agents that had not answered when the partition was opened after a takeover.
     pub missing_agents: BTreeMap<AgentId, MissingAgent>,
@@ -220,7 +221,7 @@
         if !matches!(answer, JobAnswer::Complete(_)) {
             cx.effects.push(Effect::Dequeue(key.clone()));
             job.stop_placed(&mut cx.effects);
-            self.pending_stops.extend(job.disconnected_agents());
+            self.pending_stops.extend(job.placed_agents());
         }
         cx.event(outcome_event(key, answer));
         self.insert_ended(key, job.digest, Some(answer.clone()), cx.now);
--- a/crates/masticcross-entry/src/owner/tests/loss.rs
+++ b/crates/masticcross-entry/src/owner/tests/loss.rs
@@ -4,8 +4,10 @@
 
 use masticcross_basics::Code;
 
+use masticcross_wire::{AttemptReport, AttemptState};
+
 use super::super::effect::Effect;
-use super::{Table, agent, job, queued};
+use super::{EPOCH, Table, agent, job, queued};
 
 /// Disconnects the only agent, applies its present registration and waits for the fence.
 fn disconnect_and_wait(table: &mut Table, registration: Option<u64>) -> Vec<Effect> {
@@ -60,3 +62,28 @@
     let report_effects = table.decide(|shard, cx| shard.report_complete(&agent("a"), cx));
     assert_eq!(queued(&report_effects).len(), 1);
 }
+
+// Guards against a task that goes on after its job was cancelled, because the stop was lost with the
+// session on which it was sent.
+#[test]
+fn stop_lost_with_its_session_is_sent_again_after_reconnection() {
+    let mut table = Table::open();
+    let job = job(1, true);
+    let waiting = table.admit(&job);
+    let attempt = table.place(&waiting[0], &agent("a"));
+    let effects = table.decide(|shard, cx| {
+        let _ = shard.query(EPOCH, &job.key, true, cx);
+    });
+    assert!(effects.iter().any(|e| matches!(e, Effect::Stop(..))));
+    table.decide(|shard, _| shard.disconnect(&agent("a"), Some(3)));
+    let effects = table.decide(|shard, cx| shard.connect(&agent("a"), cx));
+    assert!(effects.iter().any(|e| matches!(e, Effect::Gather(_))));
+    let report = AttemptReport {
+        key: job.key.clone(),
+        index: waiting[0].index,
+        attempt,
+        state: AttemptState::Running,
+    };
+    let effects = table.decide(|shard, cx| shard.apply_reports(&agent("a"), vec![report], cx));
+    assert!(effects.iter().any(|e| matches!(e, Effect::Stop(..))));
+}
