Count an opened session as contact only once the entry has answered on it

An agent whose sessions with an entry are reset as soon as they open keeps its runs for the entry, although the entry hears nothing of them: it starts the tasks elsewhere 1.75 s after its last contact, or its caller sends the job again after 1.3 s.

Cause: opening a session counted as contact, and so extended the agent's authority by 600 ms each time. The entry's first frame proves that its process runs, not that it has received the list of runs.

Change: while the entry has runs at the agent, only an answered probe or a request on the new session counts, from the time at which the session was opened.

Ruled out: not counting the opening at all; an entry's first request after a pause would be refused for lack of contact.

--- a/crates/masticcross-jobs/src/supervisor/clients.rs
+++ b/crates/masticcross-jobs/src/supervisor/clients.rs
@@ -41,8 +41,10 @@
     announced: Option<FreeResources>,
     /// True if a run of this entry has ended, or its offers have changed, since the last announcement.
     is_due: bool,
-    /// When the last answered probe was sent, or the session was opened.
+    /// The latest time at which the agent sent something that the entry has answered.
     last_contact: Instant,
+    /// When the open session was opened, until the entry has answered on it.
+    opened_at: Option<Instant>,
     /// Since when the open session is being replaced by one with another entry, if it is.
     retiring_since: Option<Instant>,
     /// Recent ends of runs, and when they were stored.
@@ -57,6 +59,7 @@
             announced: None,
             is_due: false,
             last_contact: now,
+            opened_at: None,
             retiring_since: None,
             ends: VecDeque::new(),
         }
@@ -65,6 +68,16 @@
     /// Records that a probe sent at `sent_at` was answered.
     pub fn record_contact(&mut self, sent_at: Instant) {
         self.last_contact = self.last_contact.max(sent_at);
+        self.opened_at = None;
+    }
+
+    /// Records a request of the entry. It has received what was sent when the session was opened, as
+    /// it sends requests only after that.
+    pub fn record_request(&mut self) {
+        self.requests_seen += 1;
+        if let Some(opened_at) = self.opened_at {
+            self.record_contact(opened_at);
+        }
     }
 
     /// Returns true if the open session is being replaced by one with another entry.
@@ -166,15 +179,26 @@
 }
 
 impl Clients {
-    /// Opens a session of an entry. Returns the session that it replaces.
-    pub fn open(&mut self, id: &ClientId, session: SessionId, now: Instant) -> Option<SessionId> {
+    /// Opens a session of an entry. Returns the session that it replaces. Unless the entry has runs, it
+    /// counts as contact; otherwise the entry must answer first, as it may never learn of these runs.
+    pub fn open(
+        &mut self,
+        id: &ClientId,
+        session: SessionId,
+        has_runs: bool,
+        now: Instant,
+    ) -> Option<SessionId> {
         let client = self.by_id.entry(id.clone());
         let client = client.or_insert_with(|| Client::new(now));
         let replaced = client.session.replace(session);
         client.requests_seen = 0;
         client.announced = None;
         client.retiring_since = None;
-        client.record_contact(now);
+        if has_runs {
+            client.opened_at = Some(now);
+        } else {
+            client.record_contact(now);
+        }
         if let Some(replaced) = replaced {
             self.by_session.remove(&replaced);
         }
--- a/crates/masticcross-jobs/src/supervisor/mod.rs
+++ b/crates/masticcross-jobs/src/supervisor/mod.rs
@@ -363,7 +363,7 @@
         };
         for request in requests {
             if let Some(client) = self.clients.of_session(session) {
-                client.requests_seen += 1;
+                client.record_request();
             }
             match self.refusal(&id, &request, now) {
                 Some(reason) => {
--- a/crates/masticcross-jobs/src/supervisor/notifications.rs
+++ b/crates/masticcross-jobs/src/supervisor/notifications.rs
@@ -26,7 +26,8 @@
 impl Supervisor {
     /// Opens a session with an entry and sends it the state of the worker and of its runs.
     pub fn session_opened(&mut self, id: &ClientId, session: SessionId, now: Instant) {
-        self.clients.open(id, session, now);
+        let has_runs = self.runs.iter().any(|run| run.client == *id);
+        self.clients.open(id, session, has_runs, now);
         self.offers.forget(id);
         let for_entry = |run: &&Run| run.client == *id;
         let mut running: Vec<RunId> = self.runs.iter().filter(for_entry).map(run_id).collect();
--- a/crates/masticcross-jobs/src/supervisor/tests.rs
+++ b/crates/masticcross-jobs/src/supervisor/tests.rs
@@ -506,6 +506,31 @@
         assert_eq!(f.stops(), 1);
     };
 
+    // Guards against a run that goes on beside the next one: its entry hears nothing of the agent, whose
+    // sessions are reset as soon as they open.
+    sessions_that_open_do_not_extend_authority_over_runs => |mut f: Fixture| {
+        f.start_run(0, 6);
+        let step = AUTHORITY_TIMEOUT / 6;
+        for session in 2..9 {
+            f.step(|s, _| s.session_closed(session - 1));
+            f.step(|s, now| s.session_opened(&client(1), session, now));
+            f.advance(step);
+        }
+        assert_eq!(f.stops(), 1);
+    };
+
+    // Guards against runs that are refused after a reset, as the entry's request is its first word.
+    a_run_request_on_a_new_session_extends_authority => |mut f: Fixture| {
+        f.start_run(0, 6);
+        f.step(|s, _| s.session_closed(SESSION));
+        f.advance(AUTHORITY_TIMEOUT.checked_sub(Duration::from_millis(50)).expect("longer"));
+        f.step(|s, now| s.session_opened(&client(1), 2, now));
+        f.advance(Duration::from_millis(40));
+        f.step(|s, now| s.run(2, vec![request(1, 1)], now));
+        f.advance(Duration::from_millis(40));
+        assert_eq!((f.take_start().is_some(), f.stops()), (true, 0));
+    };
+
     an_echo_extends_authority_from_the_time_its_probe_was_sent => |mut f: Fixture| {
         f.start_run(0, 6);
         let old_probe = f.supervisor.probe(f.now);
