--- a/crates/masticcross-jobs/src/supervisor/calls.rs
+++ b/crates/masticcross-jobs/src/supervisor/calls.rs
@@ -97,7 +97,7 @@
                 if self.claims.take(claimed).is_some() {
                     log::warn!(
                         worker:% = claimed.id, born_ms = claimed.started_at_ms;
-                        "ignored a heartbeat: the worker is another one"
+                        "claimed incarnation is not the worker's"
                     );
                 }
             }
