Refuse a session of an earlier process of an agent while a later one has one

A session that an earlier process of an agent has opened, and that the entry handles late, replaces that of the present process; its list of runs, which is complete, ends the runs of the present process for the entry, which starts them elsewhere.

Cause: the entry took the last session that opened for the present one. The order of sessions is that of the processes (the incarnation), as for the addresses of entries.

Change: a session of an earlier process is refused while one of a later process is open.

Ruled out: the same at agents; they keep the runs of each process of an entry apart.

--- a/crates/masticcross-jobs/src/entry.rs
+++ b/crates/masticcross-jobs/src/entry.rs
@@ -342,7 +342,10 @@
             self.serve_as_receiver(hello.name, link).await;
             return;
         }
-        let session = self.open(&hello, &link);
+        let Some(session) = self.open(&hello, &link) else {
+            log::warn!(agent:% = hello.name; "session refused: a later process of the agent has one");
+            return;
+        };
         log::info!(agent:% = hello.name, session; "session opened");
         let end = self.receive_frames(&hello.name, session, &mut link).await;
         self.metrics.session_ended(end);
@@ -364,7 +367,7 @@
         }
     }
 
-    fn open(&self, hello: &Hello, link: &Link) -> SessionId {
+    fn open(&self, hello: &Hello, link: &Link) -> Option<SessionId> {
         self.with_state(|state, now| {
             state.next_session += 1;
             let session = state.next_session;
@@ -372,8 +375,11 @@
             let all = state.entries.values().cloned().collect();
             state.send(session, PoolFrame::Entries(all));
             let scheduler = &mut state.scheduler;
-            scheduler.session_opened(&hello.name, hello.incarnation, session, now);
-            session
+            if scheduler.session_opened(&hello.name, hello.incarnation, session, now) {
+                return Some(session);
+            }
+            state.sessions.remove(&session);
+            None
         })
     }
 
--- a/crates/masticcross-jobs/src/scheduler/mod.rs
+++ b/crates/masticcross-jobs/src/scheduler/mod.rs
@@ -279,14 +279,19 @@
         self.remove_job(number);
     }
 
-    /// Opens a session with an agent.
+    /// Opens a session with an agent. Returns false if it must be closed, as a session of a later process
+    /// of the agent is open.
     pub fn session_opened(
         &mut self,
         name: &Name,
         incarnation: Incarnation,
         session: SessionId,
         now: Instant,
-    ) {
+    ) -> bool {
+        let known = self.workers.get(name);
+        if known.is_some_and(|w| w.session.is_some() && incarnation < w.incarnation) {
+            return false;
+        }
         if let Some(worker) = self.workers.get_mut(name) {
             worker.open(incarnation, session, now);
         } else {
@@ -298,6 +303,7 @@
         if !self.view_keepers.contains(&session) {
             self.announce_view(session);
         }
+        true
     }
 
     /// Handles the end of a session, unless a newer one has replaced it.
--- a/crates/masticcross-jobs/src/scheduler/tests.rs
+++ b/crates/masticcross-jobs/src/scheduler/tests.rs
@@ -118,6 +118,11 @@
         self.step(|s, now| s.update_free(&name, session, free, now));
     }
 
+    /// Opens a session of an agent's process. The worker has the given number.
+    fn open_as(&mut self, worker: SessionId, incarnation: u64, session: SessionId) -> bool {
+        self.step(|s, now| s.session_opened(&name(worker), incarnation, session, now))
+    }
+
     fn disconnect(&mut self, session: SessionId) {
         self.step(|s, now| s.session_closed(&name(session), session, now));
     }
@@ -804,6 +809,23 @@
         assert_eq!((f.stopped.last(), f.sent.len()), (Some(&first), 3));
     };
 
+    // Guards against a late session of an earlier process of an agent, whose list of runs would end those
+    // of the present one.
+    a_session_of_an_earlier_agent_process_does_not_replace_the_present_one => |_| {
+        let mut f = Fixture::new();
+        f.connect(1, 7, worker("zone-a", 8));
+        f.submit(f.job("a", smallvec![tasks(1, 2)]));
+        let run = f.sent[0].1.id.clone();
+        assert!(!f.open_as(1, 6, 9));
+        let empty = Resume { entry: 1, running: vec![], ended: vec![], complete: true };
+        f.step(|s, now| s.resumed(&name(1), 9, &empty, now));
+        f.step(|s, now| s.session_closed(&name(1), 9, now));
+        f.end(1, &run, RunResult::Done);
+        assert_eq!((f.outcomes(), f.sent.len()), (vec![JobOutcome::Completed], 1));
+        f.disconnect(1);
+        assert!(f.open_as(1, 6, 10), "the clock of a host may be set back");
+    };
+
     ends_of_earlier_runs_are_ignored => |_| {
         let mut f = Fixture::with_worker(8);
         f.submit(f.job("a", smallvec![tasks(1, 2)]));
--- a/crates/masticcross-jobs/tests/extreme_input.rs
+++ b/crates/masticcross-jobs/tests/extreme_input.rs
@@ -201,7 +201,9 @@
         0 => {
             scheduler.update_view(n.view());
         }
-        1 => scheduler.session_opened(&agent, n.next(), session, now),
+        1 => {
+            scheduler.session_opened(&agent, n.next(), session, now);
+        }
         2 => scheduler.worker_changed(&agent, session, Some(n.worker()), now),
         3 => {
             let free = FreeResources {
