Ignore late answers to polls for an incarnation that is neither used nor claimed

Cause: since heartbeats are claims, an answer to a poll of an earlier incarnation is handled as one to a claim; "fenced" raised the token by a minute's worth for nothing, and the next process of the agent would have had to raise its own.

Change: such answers are ignored, as they were before. The case is added to the test of late answers (an_answer_to_an_earlier_claim_does_not_replace_the_worker).

Evidence: found by reading; all 255 tests of the package's library pass.

--- a/crates/masticcross-jobs/src/supervisor/calls.rs
+++ b/crates/masticcross-jobs/src/supervisor/calls.rs
@@ -86,6 +86,9 @@
         let Some(claimed) = call.incarnation.as_ref() else {
             return;
         };
+        if !self.claims.contains(claimed) {
+            return;
+        }
         match answer {
             Ok(listing) if listing.started_at_ms == claimed.started_at_ms => {
                 if let Some(report) = self.claims.take(claimed) {
@@ -94,12 +97,11 @@
                 }
             }
             Ok(_) | Err(CallError::OtherIncarnation) => {
-                if self.claims.take(claimed).is_some() {
-                    log::warn!(
-                        worker:% = claimed.id, born_ms = claimed.started_at_ms;
-                        "claimed incarnation is not the worker's"
-                    );
-                }
+                self.claims.take(claimed);
+                log::warn!(
+                    worker:% = claimed.id, born_ms = claimed.started_at_ms;
+                    "claimed incarnation is not the worker's"
+                );
             }
             Err(CallError::Fenced) => {
                 self.lease.jump_token(call.token);
--- a/crates/masticcross-jobs/src/supervisor/tests/claims.rs
+++ b/crates/masticcross-jobs/src/supervisor/tests/claims.rs
@@ -106,7 +106,9 @@
         f.advance_in_contact(Duration::from_millis(20));
         f.start_run(0, 6);
         f.answer(&earlier, 5, vec![], vec![]);
-        assert_eq!((f.results(), f.free_cores()), (vec![], 4));
+        let token = f.next_poll().token;
+        f.step(|s, now| s.poll_answered(&earlier, Err(CallError::Fenced), now));
+        assert_eq!((f.results(), f.free_cores(), f.next_poll().token), (vec![], 4, token));
     };
 
     // Guards against a worker that entries take for one of another service, and real heartbeats that are
