End the runs of a worker that leaves once a poll shows that it is gone

Instances.Leave of an earlier incarnation arrives after the worker is back under its id; the agent reports the runs of the new incarnation as lost, and they start elsewhere beside themselves.

The call names an id and no incarnation, and was believed.

Change: it makes the agent poll the worker at once. A refused connection or an answer of another worker ends the runs, as without the call; an answer of the worker leaves them. A worker that reports again after it has left may crash as any other.

Ruled out: waiting for the worker's next heartbeat, up to 1.5 s later.

--- a/crates/masticcross-jobs/src/agent/mod.rs
+++ b/crates/masticcross-jobs/src/agent/mod.rs
@@ -139,9 +139,9 @@
         accepted
     }
 
-    /// Handles the orderly shutdown of the worker.
+    /// Handles the announcement that a worker ends now.
     pub fn worker_left(self: &Arc<Self>, id: &str) {
-        self.with_supervisor(|supervisor, now| supervisor.worker_left(id, now));
+        self.with_supervisor(|supervisor, _| supervisor.worker_left(id));
     }
 
     /// Adds or updates addresses of entries.
--- a/crates/masticcross-jobs/src/supervisor/claims.rs
+++ b/crates/masticcross-jobs/src/supervisor/claims.rs
@@ -99,10 +99,4 @@
             started_at_ms.is_none_or(is_later) && age < RETENTION
         });
     }
-
-    /// Removes the claims of a worker.
-    pub fn remove_worker(&mut self, id: &str) {
-        self.claims
-            .retain(|claim| &*claim.report.incarnation.id != id);
-    }
 }
--- a/crates/masticcross-jobs/src/supervisor/crashes.rs
+++ b/crates/masticcross-jobs/src/supervisor/crashes.rs
@@ -28,7 +28,7 @@
         let Some(worker) = &self.worker else {
             return;
         };
-        if worker.info.as_ref().is_some_and(|info| info.leaving) {
+        if worker.has_left || worker.info.as_ref().is_some_and(|info| info.leaving) {
             return;
         }
         let started_at_ms = worker.incarnation.started_at_ms;
--- a/crates/masticcross-jobs/src/supervisor/mod.rs
+++ b/crates/masticcross-jobs/src/supervisor/mod.rs
@@ -127,6 +127,8 @@
     sequence: Option<u64>,
     last_seen_end: u64,
     has_listing: bool,
+    /// True if the worker has announced its end since its last heartbeat.
+    has_left: bool,
     /// Runs that an earlier agent process started.
     orphaned: Vec<WorkerRun>,
     /// When the worker last answered a poll.
@@ -151,6 +153,7 @@
             );
             return false;
         }
+        self.has_left = false;
         self.sequence = Some(report.sequence);
         self.info = Some(report.info.clone());
         true
@@ -335,24 +338,21 @@
             sequence: None,
             last_seen_end: 0,
             has_listing: false,
+            has_left: false,
             orphaned: Vec::new(),
             last_answer_at: None,
         });
         self.effects.push(Effect::Poll);
     }
 
-    /// Handles the orderly shutdown of the worker.
-    pub fn worker_left(&mut self, id: &str, now: Instant) {
-        if self
-            .worker
-            .as_ref()
-            .is_some_and(|w| &*w.incarnation.id == id)
-        {
+    /// Handles the announcement that a worker ends now. It names no incarnation and may be late, so that
+    /// a poll shows whether the worker is gone.
+    pub fn worker_left(&mut self, id: &str) {
+        let worker = self.worker.as_mut();
+        if let Some(worker) = worker.filter(|worker| &*worker.incarnation.id == id) {
             log::info!(worker = id; "worker left");
-            self.claims.remove_worker(id);
-            self.mark_all_runs_lost(now);
-            self.worker = None;
-            self.publish(now);
+            worker.has_left = true;
+            self.effects.push(Effect::Poll);
         }
     }
 
--- a/crates/masticcross-jobs/src/supervisor/tests/claims.rs
+++ b/crates/masticcross-jobs/src/supervisor/tests/claims.rs
@@ -131,6 +131,40 @@
         assert_eq!(f.free_cores(), 10);
     };
 
+    // Guards against a late leave of an earlier incarnation with the same id, which ends runs that go on.
+    a_leave_that_the_worker_does_not_confirm_ends_no_run => |mut f: Fixture| {
+        f.confirmed_report(5);
+        f.start_run(0, 6);
+        f.effects.clear();
+        f.step(|s, _| s.worker_left("w-1"));
+        assert!(f.effects.iter().any(|e| matches!(e, Effect::Poll)));
+        let call = f.next_poll();
+        f.answer(&call, 5, vec![running(0, 10)], vec![]);
+        assert_eq!((f.results(), f.free_cores()), (vec![], 4));
+    };
+
+    // Guards against runs that are given up late after a worker has left.
+    a_leave_that_the_worker_confirms_ends_the_runs_with_one_poll => |_| {
+        for gone in [CallError::Refused("down".to_owned()), CallError::OtherIncarnation] {
+            let mut f = Fixture::new();
+            f.start_run(0, 6);
+            f.step(|s, _| s.worker_left("w-1"));
+            let call = f.next_poll();
+            f.step(|s, now| s.poll_answered(&call, Err(gone), now));
+            assert_eq!((f.results(), f.has_no_crash()), (vec![RunResult::Lost], true));
+        }
+    };
+
+    // Guards against a crash that is taken for a planned end because of an earlier leave.
+    a_worker_that_goes_on_reporting_has_not_left => |mut f: Fixture| {
+        f.step(|s, _| s.worker_left("w-1"));
+        f.report(1, 2, false);
+        f.start_run(0, 6);
+        let call = f.next_poll();
+        f.step(|s, now| s.poll_answered(&call, Err(CallError::OtherIncarnation), now));
+        assert!(!f.has_no_crash());
+    };
+
     // Guards against a saved report whose service stays in force although the worker reports another.
     a_saved_service_is_replaced_by_a_heartbeat => |_| {
         let mut f = Fixture::without_worker(Instant::now());
--- a/crates/masticcross-jobs/src/supervisor/tests/crashes.rs
+++ b/crates/masticcross-jobs/src/supervisor/tests/crashes.rs
@@ -113,8 +113,9 @@
 
     an_orderly_shutdown_is_no_crash => |mut f: Fixture| {
         f.start_run(0, 4);
-        f.step(|s, now| s.worker_left("w-1", now));
-        assert_eq!(f.crashes(SESSION).len(), 0);
+        f.step(|s, _| s.worker_left("w-1"));
+        f.refuse_poll();
+        assert_eq!((f.crashes(SESSION).len(), f.results()), (0, vec![RunResult::Lost]));
     };
 
     a_silent_worker_that_answers_again_has_not_crashed => |mut f: Fixture| {
