Move what is told of a worker by others into one module

Heartbeats, saved reports, announcements of an end and their confirmation by the worker were spread over supervisor/mod.rs, calls.rs and claims.rs; they are in claims.rs now.

--- a/crates/masticcross-jobs/src/supervisor/calls.rs
+++ b/crates/masticcross-jobs/src/supervisor/calls.rs
@@ -80,41 +80,6 @@
         self.publish(now);
     }
 
-    /// Handles the answer to a poll for a claimed incarnation. Only the worker's own start time confirms
-    /// the claim; no answer proves nothing.
-    fn claim_answered(&mut self, call: &PollCall, answer: Result<RunListing>, now: Instant) {
-        let Some(claimed) = call.incarnation.as_ref() else {
-            return;
-        };
-        if !self.claims.contains(claimed) {
-            return;
-        }
-        match answer {
-            Ok(listing) if listing.started_at_ms == claimed.started_at_ms => {
-                if let Some(report) = self.claims.take(claimed) {
-                    self.accept(report, now);
-                    self.apply_listing(call.token, &listing, now);
-                }
-            }
-            Ok(_) | Err(CallError::OtherIncarnation) => {
-                self.claims.take(claimed);
-                log::warn!(
-                    worker:% = claimed.id, born_ms = claimed.started_at_ms;
-                    "claimed incarnation is not the worker's"
-                );
-            }
-            Err(CallError::Fenced) => {
-                self.lease.jump_token(call.token);
-                self.claims.ask_again(claimed);
-                self.effects.push(Effect::Poll);
-            }
-            Err(error @ (CallError::Refused(_) | CallError::NoAnswer(_))) => {
-                log::info!(worker:% = claimed.id, error:%; "claimed worker does not answer");
-            }
-        }
-        self.publish(now);
-    }
-
     /// Handles the answer to a start.
     pub fn started(&mut self, call: &StartCall, answer: Result<StartAnswer>, now: Instant) {
         let id = &call.request.id;
@@ -265,7 +230,7 @@
         }
     }
 
-    fn apply_listing(&mut self, token: u64, listing: &RunListing, now: Instant) {
+    pub(super) fn apply_listing(&mut self, token: u64, listing: &RunListing, now: Instant) {
         let Some(incarnation) = self
             .worker
             .as_ref()
--- a/crates/masticcross-jobs/src/supervisor/claims.rs
+++ b/crates/masticcross-jobs/src/supervisor/claims.rs
@@ -1,15 +1,17 @@
-//! Incarnations of the worker that a heartbeat or a saved report names. Other writers' heartbeats arrive
-//! at the same address, and late ones of earlier incarnations, so that a claim is used only once the
-//! worker itself confirms it: it answers a poll that is meant for this id, with this start time.
+//! What is told of the worker by others than itself: heartbeats, saved reports, and announcements of its
+//! end. Other writers' heartbeats arrive at the same address, and late ones of earlier incarnations.
+//! Another incarnation than the worker's is therefore a claim, which is used only once the worker
+//! confirms it: it answers a poll that is meant for this id, with this start time.
 
 use std::time::Duration;
 
+use masticcross_wire::pool::WorkerInfo;
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
-use crate::worker_client::WorkerIncarnation;
+use crate::worker_client::{CallError, PollCall, Result, RunListing, WorkerIncarnation};
 
-use super::WorkerReport;
+use super::{Effect, Supervisor, Worker, WorkerReport};
 
 /// How long a claim is kept without a further report of its incarnation.
 const RETENTION: Duration = Duration::from_secs(5);
@@ -100,3 +102,140 @@
         });
     }
 }
+
+impl Worker {
+    /// Applies a heartbeat of this incarnation. Returns false if it is out of date or cannot be the
+    /// worker's: an incarnation does not change its service or zone.
+    fn apply_report(&mut self, report: &WorkerReport) -> bool {
+        let is_later = |last: u64| report.sequence >= last;
+        if !self.sequence.is_none_or(is_later) {
+            return false;
+        }
+        let is_same = |info: &WorkerInfo| {
+            (&info.service, &info.zone) == (&report.info.service, &report.info.zone)
+        };
+        if self.sequence.is_some() && !self.info.as_ref().is_none_or(is_same) {
+            log::warn!(
+                worker:% = report.incarnation.id, service:% = report.info.service, zone:% = report.info.zone;
+                "ignored a heartbeat with another service or zone than the worker's"
+            );
+            return false;
+        }
+        self.has_left = false;
+        self.sequence = Some(report.sequence);
+        self.info = Some(report.info.clone());
+        true
+    }
+}
+
+impl Supervisor {
+    /// Applies a heartbeat. Returns false if it is out of date or not the worker's. One of another
+    /// incarnation is used once the worker has confirmed it.
+    pub fn worker_reported(&mut self, report: WorkerReport, now: Instant) -> bool {
+        if let Some(worker) = &mut self.worker {
+            if worker.incarnation == report.incarnation {
+                let before = worker.info.clone();
+                if !worker.apply_report(&report) {
+                    return false;
+                }
+                if worker.info != before {
+                    self.effects.push(Effect::SaveReport(report));
+                    self.publish(now);
+                }
+                return true;
+            }
+            if report.incarnation.started_at_ms < worker.incarnation.started_at_ms {
+                return false;
+            }
+        }
+        self.claim(report, now)
+    }
+
+    /// Uses a report that an earlier agent process saved once the worker has confirmed its incarnation,
+    /// unless the worker has already sent a heartbeat.
+    pub fn restore_report(&mut self, report: WorkerReport, now: Instant) {
+        if self.worker.is_none() && self.claims.is_empty() {
+            let sequence = 0;
+            self.claim(WorkerReport { sequence, ..report }, now);
+        }
+    }
+
+    /// Asks the worker whether it has the incarnation of a report.
+    fn claim(&mut self, report: WorkerReport, now: Instant) -> bool {
+        let is_new = !self.claims.contains(&report.incarnation);
+        let is_accepted = self.claims.add(report, now);
+        if is_new {
+            self.effects.push(Effect::Poll);
+        }
+        is_accepted
+    }
+
+    /// Starts to use the incarnation of a report, which the worker has confirmed. The runs at an earlier
+    /// worker are lost.
+    pub(super) fn accept(&mut self, report: WorkerReport, now: Instant) {
+        let current = self.worker.as_ref().map(|worker| &worker.incarnation.id);
+        let same_id = current == Some(&report.incarnation.id);
+        self.record_crash(now);
+        if !same_id {
+            self.mark_all_runs_lost(now);
+        }
+        self.start_incarnation(report.incarnation.clone());
+        if let Some(worker) = &mut self.worker {
+            // A saved report has no number.
+            worker.sequence = (report.sequence > 0).then_some(report.sequence);
+            worker.info = Some(report.info.clone());
+        }
+        self.effects.push(Effect::SaveReport(report));
+    }
+
+    /// Handles the answer to a poll for a claimed incarnation. Only the worker's own start time confirms
+    /// the claim; no answer proves nothing.
+    pub(super) fn claim_answered(
+        &mut self,
+        call: &PollCall,
+        answer: Result<RunListing>,
+        now: Instant,
+    ) {
+        let Some(claimed) = call.incarnation.as_ref() else {
+            return;
+        };
+        if !self.claims.contains(claimed) {
+            return;
+        }
+        match answer {
+            Ok(listing) if listing.started_at_ms == claimed.started_at_ms => {
+                if let Some(report) = self.claims.take(claimed) {
+                    self.accept(report, now);
+                    self.apply_listing(call.token, &listing, now);
+                }
+            }
+            Ok(_) | Err(CallError::OtherIncarnation) => {
+                self.claims.take(claimed);
+                log::warn!(
+                    worker:% = claimed.id, born_ms = claimed.started_at_ms;
+                    "claimed incarnation is not the worker's"
+                );
+            }
+            Err(CallError::Fenced) => {
+                self.lease.jump_token(call.token);
+                self.claims.ask_again(claimed);
+                self.effects.push(Effect::Poll);
+            }
+            Err(error @ (CallError::Refused(_) | CallError::NoAnswer(_))) => {
+                log::info!(worker:% = claimed.id, error:%; "claimed worker does not answer");
+            }
+        }
+        self.publish(now);
+    }
+
+    /// Handles the announcement that a worker ends now. It names no incarnation and may be late, so that
+    /// a poll shows whether the worker is gone.
+    pub fn worker_left(&mut self, id: &str) {
+        let worker = self.worker.as_mut();
+        if let Some(worker) = worker.filter(|worker| &*worker.incarnation.id == id) {
+            log::info!(worker = id; "worker left");
+            worker.has_left = true;
+            self.effects.push(Effect::Poll);
+        }
+    }
+}
--- a/crates/masticcross-jobs/src/supervisor/mod.rs
+++ b/crates/masticcross-jobs/src/supervisor/mod.rs
@@ -6,7 +6,7 @@
 //! - [`clients`]: entries, and how long the agent may act for them.
 //! - `isolation`: runs that must not start close to each other, or run alone.
 //! - `calls`: calls to the worker and its answers.
-//! - `claims`: incarnations of the worker that it has not confirmed.
+//! - `claims`: heartbeats and other reports of the worker, and what it confirms of them.
 //! - `crashes`: crashes of the worker.
 //! - `notifications`: frames sent to entries.
 //! - [`offers`]: division of free resources among the entries.
@@ -135,31 +135,6 @@
     last_answer_at: Option<Instant>,
 }
 
-impl Worker {
-    /// Applies a heartbeat of this incarnation. Returns false if it is out of date or cannot be the
-    /// worker's: an incarnation does not change its service or zone.
-    fn apply_report(&mut self, report: &WorkerReport) -> bool {
-        let is_later = |last: u64| report.sequence >= last;
-        if !self.sequence.is_none_or(is_later) {
-            return false;
-        }
-        let is_same = |info: &WorkerInfo| {
-            (&info.service, &info.zone) == (&report.info.service, &report.info.zone)
-        };
-        if self.sequence.is_some() && !self.info.as_ref().is_none_or(is_same) {
-            log::warn!(
-                worker:% = report.incarnation.id, service:% = report.info.service, zone:% = report.info.zone;
-                "ignored a heartbeat with another service or zone than the worker's"
-            );
-            return false;
-        }
-        self.has_left = false;
-        self.sequence = Some(report.sequence);
-        self.info = Some(report.info.clone());
-        true
-    }
-}
-
 /// State machine by which an agent controls its worker.
 pub struct Supervisor {
     name: Name,
@@ -256,65 +231,6 @@
         self.worker.is_some()
     }
 
-    /// Applies a heartbeat. Returns false if it is out of date or not the worker's. One of another
-    /// incarnation is used once the worker has confirmed it.
-    pub fn worker_reported(&mut self, report: WorkerReport, now: Instant) -> bool {
-        if let Some(worker) = &mut self.worker {
-            if worker.incarnation == report.incarnation {
-                let before = worker.info.clone();
-                if !worker.apply_report(&report) {
-                    return false;
-                }
-                if worker.info != before {
-                    self.effects.push(Effect::SaveReport(report));
-                    self.publish(now);
-                }
-                return true;
-            }
-            if report.incarnation.started_at_ms < worker.incarnation.started_at_ms {
-                return false;
-            }
-        }
-        self.claim(report, now)
-    }
-
-    /// Uses a report that an earlier agent process saved once the worker has confirmed its incarnation,
-    /// unless the worker has already sent a heartbeat.
-    pub fn restore_report(&mut self, report: WorkerReport, now: Instant) {
-        if self.worker.is_none() && self.claims.is_empty() {
-            let sequence = 0;
-            self.claim(WorkerReport { sequence, ..report }, now);
-        }
-    }
-
-    /// Asks the worker whether it has the incarnation of a report.
-    fn claim(&mut self, report: WorkerReport, now: Instant) -> bool {
-        let is_new = !self.claims.contains(&report.incarnation);
-        let is_accepted = self.claims.add(report, now);
-        if is_new {
-            self.effects.push(Effect::Poll);
-        }
-        is_accepted
-    }
-
-    /// Starts to use the incarnation of a report, which the worker has confirmed. The runs at an earlier
-    /// worker are lost.
-    fn accept(&mut self, report: WorkerReport, now: Instant) {
-        let current = self.worker.as_ref().map(|worker| &worker.incarnation.id);
-        let same_id = current == Some(&report.incarnation.id);
-        self.record_crash(now);
-        if !same_id {
-            self.mark_all_runs_lost(now);
-        }
-        self.start_incarnation(report.incarnation.clone());
-        if let Some(worker) = &mut self.worker {
-            // A saved report has no number.
-            worker.sequence = (report.sequence > 0).then_some(report.sequence);
-            worker.info = Some(report.info.clone());
-        }
-        self.effects.push(Effect::SaveReport(report));
-    }
-
     /// Starts to track a new incarnation of the worker. Start calls meant for an earlier incarnation
     /// with the same id may have reached the new one, even after it made the listing that revealed
     /// it. Whether they did is known after the first poll with the raised token.
@@ -345,17 +261,6 @@
         self.effects.push(Effect::Poll);
     }
 
-    /// Handles the announcement that a worker ends now. It names no incarnation and may be late, so that
-    /// a poll shows whether the worker is gone.
-    pub fn worker_left(&mut self, id: &str) {
-        let worker = self.worker.as_mut();
-        if let Some(worker) = worker.filter(|worker| &*worker.incarnation.id == id) {
-            log::info!(worker = id; "worker left");
-            worker.has_left = true;
-            self.effects.push(Effect::Poll);
-        }
-    }
-
     /// Handles run requests of an entry. Each run is either started or reported as not started.
     pub fn run(&mut self, session: SessionId, requests: Vec<RunRequest>, now: Instant) {
         let Some(id) = self.clients.id_of(session) else {
