Drop earlier claims as soon as a later incarnation is used

A worker answers the poll for its claimed incarnation, and restarts; its next incarnation is confirmed; then the first answer arrives, and the agent goes back to the earlier incarnation and reports the runs of the present one as lost.

Cause: claims of earlier incarnations were dropped by the next tick, up to 20 ms later, and not when the later one was accepted. The test advanced the clock in between.

Change: starting an incarnation, by a claim or by a listing, drops the claims that are not later.

--- a/crates/masticcross-jobs/src/supervisor/calls.rs
+++ b/crates/masticcross-jobs/src/supervisor/calls.rs
@@ -251,7 +251,7 @@
                 self.accept(report, now);
             } else {
                 self.record_crash(now);
-                self.start_incarnation(restarted);
+                self.start_incarnation(restarted, now);
             }
         }
         // The worker was only unresponsive.
--- a/crates/masticcross-jobs/src/supervisor/claims.rs
+++ b/crates/masticcross-jobs/src/supervisor/claims.rs
@@ -179,7 +179,7 @@
         if !same_id {
             self.mark_all_runs_lost(now);
         }
-        self.start_incarnation(report.incarnation.clone());
+        self.start_incarnation(report.incarnation.clone(), now);
         if let Some(worker) = &mut self.worker {
             // A saved report has no number.
             worker.sequence = (report.sequence > 0).then_some(report.sequence);
--- a/crates/masticcross-jobs/src/supervisor/mod.rs
+++ b/crates/masticcross-jobs/src/supervisor/mod.rs
@@ -234,7 +234,9 @@
     /// Starts to track a new incarnation of the worker. Start calls meant for an earlier incarnation
     /// with the same id may have reached the new one, even after it made the listing that revealed
     /// it. Whether they did is known after the first poll with the raised token.
-    fn start_incarnation(&mut self, incarnation: WorkerIncarnation) {
+    fn start_incarnation(&mut self, incarnation: WorkerIncarnation, now: Instant) {
+        self.claims
+            .remove_outdated(Some(incarnation.started_at_ms), now);
         log::info!(worker:% = incarnation.id, born_ms = incarnation.started_at_ms; "worker started");
         let token = self.lease.token();
         for run in self
--- a/crates/masticcross-jobs/src/supervisor/tests/claims.rs
+++ b/crates/masticcross-jobs/src/supervisor/tests/claims.rs
@@ -103,14 +103,25 @@
         f.send(claim("w-3", 9));
         let later = f.next_poll();
         f.answer(&later, 9, vec![], vec![]);
-        f.advance_in_contact(Duration::from_millis(20));
-        f.start_run(0, 6);
+        f.submit(request(0, 6));
         f.answer(&earlier, 5, vec![], vec![]);
         let token = f.next_poll().token;
         f.step(|s, now| s.poll_answered(&earlier, Err(CallError::Fenced), now));
         assert_eq!((f.results(), f.free_cores(), f.next_poll().token), (vec![], 4, token));
     };
 
+    // Guards against the same if a listing has shown the restart.
+    an_answer_to_an_earlier_claim_does_not_replace_a_listed_restart => |mut f: Fixture| {
+        let regular = f.next_poll();
+        f.send(claim("w-1", 5));
+        let earlier = f.next_poll();
+        f.answer(&regular, 9, vec![], vec![]);
+        f.report(9, 1, false);
+        f.submit(request(0, 6));
+        f.answer(&earlier, 5, vec![], vec![]);
+        assert_eq!((f.results(), f.free_cores()), (vec![], 4));
+    };
+
     // Guards against a worker that entries take for one of another service, and real heartbeats that are
     // then out of date.
     a_heartbeat_with_another_service_does_not_change_the_worker => |mut f: Fixture| {
