--- a/crates/masticcross-jobs/src/supervisor/tests.rs
+++ b/crates/masticcross-jobs/src/supervisor/tests.rs
@@ -32,7 +32,7 @@
     };
 }
 
-// It uses the macro.
+// Declared here because it uses the macro above.
 mod claims;
 
 const LEASE: Duration = Duration::from_secs(1);
