--- a/review/rig-2.rs
+++ b/review/rig-2.rs
@@ -916,7 +916,7 @@
             std::env::temp_dir().join(format!("masticcross-review-{}", std::process::id()));
         std::fs::create_dir_all(&folder)?;
         let [.., high, low] = std::process::id().to_be_bytes();
-        let first = 10 + 28 * round;
+        let first = 10 + 24 * round;
         let ip = |number: u8| Ipv4Addr::new(127, high.max(1), low, first + number);
         let store = Store::default();
         store.put("config", CONFIG);
@@ -940,7 +940,7 @@
             deployment.entries.push(machine);
         }
         for number in 0..agents {
-            let ip = ip(8 + number);
+            let ip = ip(4 + number);
             let (worker, addr) = deployment.fleet.serve(ip)?;
             let role = format!(
                 "control = \"{ip}:{CONTROL_PORT}\"\nworker = \"{addr}\"\nservice = \"desk\"\n"
@@ -1102,12 +1102,12 @@
 type Broken = Vec<String>;
 
 /// Number of times that an entry is killed, each time in a new deployment, unless the rule breaks.
-const ROUNDS: u8 = 8;
+const ROUNDS: u8 = 10;
 
 /// An entry is killed while workers carry out a part of the orders late.
 fn killed_entry(record: &Record, trouble: bool) -> Result<Broken> {
     for round in 0..ROUNDS {
-        let mut deployment = Deployment::start(record, round, 2, 16)?;
+        let mut deployment = Deployment::start(record, round, 2, 20)?;
         let ran = kill_entry(&mut deployment, round, trouble);
         deployment.record_runs();
         let broken = overlapping_runs(record, &deployment.fleet.intervals());
@@ -1122,10 +1122,10 @@
 }
 
 fn kill_entry(deployment: &mut Deployment, round: u8, trouble: bool) -> Result<()> {
-    let (jobs, tasks) = (19, 128);
+    let (jobs, tasks) = (30, 128);
     let record = deployment.record.clone();
     let entries: Vec<SocketAddr> = deployment.entries.iter().map(Machine::callers).collect();
-    let body = job(1, tasks, 100, 3_600);
+    let body = job(1, tasks, 80, 3_600);
     let mut clients = Vec::new();
     for number in 0..jobs {
         let (record, entries, body) = (record.clone(), entries.clone(), body.clone());
@@ -1133,7 +1133,7 @@
             let id = format!("0000000000{round:04x}{number:02x}");
             submit(&record, &entries, &id, &body, Duration::from_secs(6))
         }));
-        sleep(Duration::from_millis(80));
+        sleep(Duration::from_millis(50));
     }
     let until = Instant::now() + Duration::from_secs(1);
     while deployment.fleet.running() < jobs * tasks && Instant::now() < until {
