Let agents read the operators' records when their entries cannot

Cause: only entries read the operators' records, and an agent took the silence of its entries for "no news". The property that was missing: whoever may start something knows how old its view is, and a process that can reach the store does not act on a view that is older than the bound.

Change: the age of a view travels with it, as a duration. Entries tell it with each echo, counted from the time the probe was sent, and with announcements; a read of the store counts for the time of the store's answer at the latest. An agent whose view is 2 to 3 s old reads the records itself. The time differs between the agents and from read to read, so that the first ones tell their entries, and these with the next echo the other agents. From 3.5 s on an agent starts nothing by its view until its read has ended. If the read fails it goes on with the view that it has, and reads again after 2 to 3 s: to refuse all starts while the store is down for everyone would help nobody. A new agent with an entry that has not read anything for long reads at once. The copy of such a read serves the entries that cannot read the records, so that routes, limits and evacuations that are taken back reach them too.

The end-to-end test fails without the agent's reads, which is the code before; without them, and without the refusal of old views, 4 unit tests fail each.

Ruled out: a refusal of all starts by old views; reads by all agents at all times, which would multiply the calls to the store by the number of agents.

--- a/crates/masticcross-jobs/src/agent/mod.rs
+++ b/crates/masticcross-jobs/src/agent/mod.rs
@@ -25,6 +25,7 @@
 use crate::report_store::WorkerReportStore;
 use crate::supervisor::{Effect, SessionId, Supervisor, WorkerReport};
 use crate::suspension::SuspensionDetector;
+use crate::view_reader::ViewReader;
 use crate::worker_client::WorkerClient;
 
 /// Interval of the supervisor's ticks.
@@ -56,6 +57,7 @@
     metrics: AgentMetrics,
     client: Arc<dyn WorkerClient>,
     store: Arc<dyn WorkerReportStore>,
+    view_reader: Arc<dyn ViewReader>,
     dialer: Arc<dyn Dialer>,
     next_session: Mutex<SessionId>,
     seeds: Mutex<Vec<SocketAddr>>,
@@ -80,6 +82,7 @@
         unix_ms: u64,
         client: Arc<dyn WorkerClient>,
         store: Arc<dyn WorkerReportStore>,
+        view_reader: Arc<dyn ViewReader>,
         dialer: Arc<dyn Dialer>,
     ) -> metrics::Result<Arc<Self>> {
         let supervisor = Supervisor::new(&identity.name, lease, unix_ms, Instant::now());
@@ -95,6 +98,7 @@
             senders: Mutex::default(),
             client,
             store,
+            view_reader,
             dialer,
             next_session: Mutex::new(0),
             seeds: Mutex::default(),
@@ -216,6 +220,9 @@
                 *self.unsaved_report.lock() = Some(report);
                 self.report_changed.notify_one();
             }
+            Effect::ReadView => {
+                tokio::spawn(self.clone().read_view());
+            }
         }
     }
 
@@ -230,6 +237,12 @@
         }
     }
 
+    async fn read_view(self: Arc<Self>) {
+        let read_at = Instant::now();
+        let read = self.view_reader.read().await;
+        self.with_supervisor(|supervisor, now| supervisor.view_read(read, read_at, now));
+    }
+
     /// Saves reports of the worker one after the other, so that no earlier one replaces a later one.
     async fn save_loop(self: Arc<Self>) {
         loop {
--- a/crates/masticcross-jobs/src/agent/sessions.rs
+++ b/crates/masticcross-jobs/src/agent/sessions.rs
@@ -154,8 +154,8 @@
 
     fn handle(self: &Arc<Self>, session: SessionId, frame: PoolFrame) {
         match frame {
-            PoolFrame::Echo(probe) => {
-                self.with_supervisor(|supervisor, now| supervisor.echoed(session, probe, now));
+            PoolFrame::Echo(echo) => {
+                self.with_supervisor(|supervisor, now| supervisor.echoed(session, echo, now));
             }
             PoolFrame::Demand(demand) => self.with_supervisor(|supervisor, now| {
                 supervisor.demand_received(session, &demand, now);
--- a/crates/masticcross-jobs/src/entry.rs
+++ b/crates/masticcross-jobs/src/entry.rs
@@ -165,11 +165,12 @@
         self.state.lock().scheduler.view_status(Instant::now())
     }
 
-    /// Records the result of a read of the operators' records.
-    pub fn view_read(&self, read: ViewRead) {
+    /// Records the result of a read of the operators' records. `current_at` is the latest time at which a
+    /// complete read is known to have returned the newest records.
+    pub fn view_read(&self, read: ViewRead, current_at: Instant) {
         self.metrics.view_read(read);
         if read.is_complete() {
-            self.state.lock().scheduler.view_confirmed(Instant::now());
+            self.state.lock().scheduler.view_confirmed(current_at);
         }
     }
 
@@ -221,8 +222,8 @@
 
     /// Applies an operator view from the operators' records if it is newer.
     pub fn update_view(&self, view: OperatorView) {
-        self.with_state(|state, _| {
-            if state.scheduler.update_view(view) {
+        self.with_state(|state, now| {
+            if state.scheduler.update_view(view, now) {
                 self.view_applied(state, ViewSource::Records);
             }
         });
@@ -438,7 +439,8 @@
                 {
                     state.send(session, PoolFrame::Demand(demand));
                 }
-                state.send(session, PoolFrame::Echo(probe));
+                let echo = state.scheduler.echo(probe, now);
+                state.send(session, PoolFrame::Echo(echo));
             }
             PoolFrame::Worker(info) => {
                 state.scheduler.worker_changed(agent, session, info, now);
@@ -455,8 +457,7 @@
                 state.scheduler.crashes_announced(session, &crashes, now);
             }
             PoolFrame::View(view) => {
-                let position = view.summary.position;
-                state.scheduler.view_announced(session, position, now);
+                state.scheduler.view_announced(session, &view, now);
             }
             PoolFrame::FetchView(range) => state.scheduler.view_requested(session, range),
             PoolFrame::ViewPart(part) => {
--- a/crates/masticcross-jobs/src/lib.rs
+++ b/crates/masticcross-jobs/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod supervisor;
 pub mod suspension;
 pub mod view;
+pub mod view_reader;
 pub mod worker_client;
 
 pub use agent::Agent;
--- a/crates/masticcross-jobs/src/scheduler/mod.rs
+++ b/crates/masticcross-jobs/src/scheduler/mod.rs
@@ -51,6 +51,7 @@
 use crate::run_times::RunTimes;
 use crate::view::encoded::EncodedView;
 use crate::view::fetch::ViewFetch;
+use crate::view::freshness::ViewAge;
 
 use admission::{ArrivalRates, RecentShare, Saturation, Work};
 use jobs::Jobs;
@@ -123,8 +124,7 @@
 /// State machine that schedules the jobs of an entry.
 pub struct Scheduler {
     view: Option<OperatorView>,
-    /// When the last complete read of the operators' records ended.
-    view_confirmed_at: Option<Instant>,
+    view_age: ViewAge,
     workers: Workers,
     jobs: Jobs,
     by_id: FxHashMap<Name, JobNumber>,
@@ -160,7 +160,7 @@
     pub fn new(zone: Name) -> Self {
         Self {
             view: None,
-            view_confirmed_at: None,
+            view_age: ViewAge::default(),
             workers: Workers::new(zone),
             jobs: Jobs::default(),
             by_id: FxHashMap::default(),
@@ -299,9 +299,9 @@
             self.workers.insert(worker);
         }
         self.place_changed(name, now);
-        self.choose_view_keepers();
+        self.choose_view_keepers(now);
         if !self.view_keepers.contains(&session) {
-            self.announce_view(session);
+            self.announce_view(session, now);
         }
         true
     }
@@ -318,7 +318,7 @@
         worker.session = None;
         worker.set_info(None, now);
         self.place_changed(name, now);
-        self.choose_view_keepers();
+        self.choose_view_keepers(now);
         self.mark_unreachable(name, now);
         self.place(now);
     }
--- a/crates/masticcross-jobs/src/scheduler/operator_view.rs
+++ b/crates/masticcross-jobs/src/scheduler/operator_view.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use masticcross_wire::pool::{OperatorView, PoolFrame, ViewAnnouncement, ViewPart, ViewRange};
+use masticcross_wire::pool::{
+    Echo, OperatorView, PoolFrame, ViewAnnouncement, ViewPart, ViewRange,
+};
 use smallvec::SmallVec;
 use tokio::time::Instant;
 use twox_hash::XxHash3_64;
@@ -10,6 +12,7 @@
 use super::{Effect, Scheduler, SessionId};
 use crate::view::encoded::EncodedView;
 use crate::view::fetch::{FetchPace, Progress};
+use crate::view::freshness::confirmed_at;
 
 /// Number of agents that an entry asks to keep a copy of the operator view.
 pub(super) const VIEW_KEEPERS: usize = 4;
@@ -27,8 +30,8 @@
     pub position: u64,
     /// Version of the configuration.
     pub config_version: u64,
-    /// Time since a read of the operators' records showed that there is no newer view, or `None` if
-    /// this entry has not completed a read.
+    /// Time since a read of the operators' records, by this entry or another process, showed that
+    /// there is no newer view, or `None` if that is not known.
     pub age: Option<Duration>,
 }
 
@@ -45,43 +48,56 @@
     /// Returns which operator view is in force.
     #[must_use]
     pub fn view_status(&self, now: Instant) -> ViewStatus {
-        let age = |at: Instant| now.saturating_duration_since(at);
         ViewStatus {
             position: self.view_position(),
             config_version: self.view.as_ref().map_or(0, |view| view.config_version),
-            age: self.view_confirmed_at.map(age),
+            age: self.view_age.get(now),
         }
     }
 
-    /// Records that a read of the operators' records has shown which is the newest view.
-    pub fn view_confirmed(&mut self, now: Instant) {
-        self.view_confirmed_at = Some(now);
+    /// Records that a read of the operators' records that began at the given time has shown that there
+    /// is no newer view.
+    pub fn view_confirmed(&mut self, read_at: Instant) {
+        let position = self.view_position();
+        self.view_age.confirmed(position, read_at, position);
+    }
+
+    /// Returns the answer to a probe.
+    #[must_use]
+    pub fn echo(&self, probe: u64, now: Instant) -> Echo {
+        Echo {
+            probe,
+            view_position: self.view_position(),
+            view_age_ms: self.view_age.to_ms(now),
+        }
     }
 
     /// Applies an operator view if it is newer, and announces it to all agents. Returns true if it is.
-    pub fn update_view(&mut self, view: OperatorView) -> bool {
+    pub fn update_view(&mut self, view: OperatorView, now: Instant) -> bool {
         let current_position = self.view.as_ref().map(|v| v.position);
         if current_position.is_some_and(|position| view.position <= position) || view.position == 0
         {
             return false;
         }
+        self.view_age.applied(view.position);
         self.view = Some(view);
         self.encoded_view = None;
         self.locality.recheck = true;
         self.workers.invalidate();
         let sessions: Vec<SessionId> = self.workers.values().filter_map(|w| w.session).collect();
         for session in sessions {
-            self.announce_view(session);
+            self.announce_view(session, now);
         }
         true
     }
 
     /// Announces the operator view on a session, if there is one.
-    pub(super) fn announce_view(&mut self, session: SessionId) {
+    pub(super) fn announce_view(&mut self, session: SessionId, now: Instant) {
         if let Some(view) = &self.view {
             let announcement = ViewAnnouncement {
                 summary: view.summary(),
                 keep_copy: self.view_keepers.contains(&session),
+                age_ms: self.view_age.to_ms(now),
             };
             let frame = PoolFrame::View(announcement);
             self.effects.push(Effect::Send(session, frame));
@@ -91,7 +107,7 @@
     /// Chooses the agents that keep a copy of the operator view. An entry that starts while the
     /// operators' records cannot be read gets it from them. Entries that share agents tend to choose
     /// the same ones.
-    pub(super) fn choose_view_keepers(&mut self) {
+    pub(super) fn choose_view_keepers(&mut self, now: Instant) {
         let sessions = self
             .workers
             .iter()
@@ -110,12 +126,17 @@
             .into_iter()
             .filter(|session| !former.contains(session))
         {
-            self.announce_view(session);
+            self.announce_view(session, now);
         }
     }
 
-    /// Applies the position of the operator view that an agent announced.
-    pub fn view_announced(&mut self, session: SessionId, position: u64, now: Instant) {
+    /// Applies an agent's announcement of its operator view.
+    pub fn view_announced(&mut self, session: SessionId, view: &ViewAnnouncement, now: Instant) {
+        let position = view.summary.position;
+        if let Some(at) = confirmed_at(view.age_ms, now) {
+            let own_position = self.view_position();
+            self.view_age.confirmed(position, at, own_position);
+        }
         self.view_fetch.announced(session, position);
         self.fetch_view(now);
     }
@@ -157,7 +178,7 @@
                 false
             }
             Progress::Complete(encoded) => match encoded.decode() {
-                Ok(view) => self.update_view(view),
+                Ok(view) => self.update_view(view, now),
                 Err(error) => {
                     log::warn!(session, error:%; "malformed operator view");
                     false
--- a/crates/masticcross-jobs/src/scheduler/tests.rs
+++ b/crates/masticcross-jobs/src/scheduler/tests.rs
@@ -11,7 +11,7 @@
 use masticcross_wire::NotStartedReason;
 use masticcross_wire::pool::{
     FreeResources, OperatorView, PoolFrame, Queue, Resources, Resume, RunEnd, RunId, RunRequest,
-    RunResult, ViewRange, WorkerInfo,
+    RunResult, ViewAnnouncement, ViewRange, ViewSummary, WorkerInfo,
 };
 use smallvec::{SmallVec, smallvec};
 use tokio::time::Instant;
@@ -94,7 +94,7 @@
             zones_out: zones_out.iter().map(|zone| Name::from(*zone)).collect(),
             ..OperatorView::default()
         };
-        self.step(|s, _| s.update_view(view));
+        self.step(|s, now| s.update_view(view, now));
     }
 
     /// Applies a view and leaves its effects.
@@ -103,7 +103,7 @@
             position,
             ..OperatorView::default()
         };
-        self.scheduler.update_view(view);
+        self.scheduler.update_view(view, self.now);
     }
 
     /// Opens the session of an agent. The worker has the number of the session.
@@ -270,13 +270,25 @@
     }
 }
 
+/// Returns an agent's announcement of a view that it has just read.
+fn announcement(position: u64) -> ViewAnnouncement {
+    ViewAnnouncement {
+        summary: ViewSummary {
+            position,
+            ..ViewSummary::default()
+        },
+        keep_copy: false,
+        age_ms: Some(0),
+    }
+}
+
 cases! {
 
     the_operator_view_is_not_fetched_on_a_session_that_was_replaced => |mut f: Fixture| {
         f.scheduler.session_opened(&name(1), 1, 1, f.now);
         f.scheduler.session_opened(&name(1), 1, 2, f.now);
-        f.scheduler.view_announced(1, 9, f.now);
-        f.scheduler.view_announced(2, 9, f.now);
+        f.scheduler.view_announced(1, &announcement(9), f.now);
+        f.scheduler.view_announced(2, &announcement(9), f.now);
         f.scheduler.session_closed(&name(1), 1, f.now);
         f.scheduler.take_effects();
         f.now += SECOND;
@@ -358,7 +370,7 @@
     an_entry_without_the_store_fetches_a_newer_operator_view_from_an_agent => |mut f: Fixture| {
         f.scheduler.session_opened(&name(1), 1, 1, f.now);
         f.scheduler.take_effects();
-        f.scheduler.view_announced(1, 9, f.now);
+        f.scheduler.view_announced(1, &announcement(9), f.now);
         // The entry gets the time to read the operators' records itself.
         f.advance(Duration::from_millis(480));
         assert_eq!(f.requested_views, vec![]);
@@ -372,6 +384,31 @@
         assert!(!f.scheduler.view_part_received(1, &part, f.now));
     };
 
+    // Guards against agents that all read the operators' records, as their entries do not pass on what
+    // one of them has read.
+    an_entry_without_the_store_tells_how_old_the_view_of_an_agent_is => |mut f: Fixture| {
+        f.scheduler.session_opened(&name(1), 1, 1, f.now);
+        f.update_view_quietly(8);
+        assert_eq!(f.scheduler.echo(5, f.now).view_age_ms, None);
+        let announcement = ViewAnnouncement { age_ms: Some(200), ..announcement(8) };
+        f.scheduler.view_announced(1, &announcement, f.now);
+        f.advance(Duration::from_millis(100));
+        let echo = f.scheduler.echo(5, f.now);
+        assert_eq!((echo.probe, echo.view_position, echo.view_age_ms), (5, 8, Some(300)));
+    };
+
+    // Guards against an old view that counts as fresh because another process has read a newer one.
+    the_age_of_a_newer_view_counts_once_the_entry_has_it => |mut f: Fixture| {
+        f.scheduler.session_opened(&name(1), 1, 1, f.now);
+        f.update_view_quietly(8);
+        f.scheduler.view_confirmed(f.now);
+        f.advance(SECOND);
+        f.scheduler.view_announced(1, &announcement(9), f.now);
+        assert_eq!(f.scheduler.echo(5, f.now).view_age_ms, Some(1_000));
+        f.update_view_quietly(9);
+        assert_eq!(f.scheduler.echo(5, f.now).view_age_ms, Some(0));
+    };
+
     a_job_completes_when_all_tasks_are_done => |_| {
         let mut f = Fixture::with_worker(8);
         f.submit(f.job("a", smallvec![tasks(2, 2)]));
--- a/crates/masticcross-jobs/src/supervisor/clients.rs
+++ b/crates/masticcross-jobs/src/supervisor/clients.rs
@@ -80,6 +80,12 @@
         }
     }
 
+    /// Returns the latest time at which the agent sent something that the entry has answered.
+    #[must_use]
+    pub fn last_contact(&self) -> Instant {
+        self.last_contact
+    }
+
     /// Returns true if the open session is being replaced by one with another entry.
     #[must_use]
     pub fn is_retiring(&self) -> bool {
--- a/crates/masticcross-jobs/src/supervisor/isolation.rs
+++ b/crates/masticcross-jobs/src/supervisor/isolation.rs
@@ -60,6 +60,8 @@
             Some(NotStartedReason::ShuttingDown)
         } else if self.view.zones_out.contains(&info.zone) {
             Some(NotStartedReason::ZoneOut)
+        } else if !self.own_reads.allow_use(&self.view_age, now) {
+            Some(NotStartedReason::ViewStale)
         } else if !info.capacity.covers(&run.request.resources) {
             Some(NotStartedReason::NoRoom)
         } else {
--- a/crates/masticcross-jobs/src/supervisor/mod.rs
+++ b/crates/masticcross-jobs/src/supervisor/mod.rs
@@ -44,6 +44,7 @@
 use crate::crashes::log::CrashLog;
 use crate::view::encoded::EncodedView;
 use crate::view::fetch::ViewFetch;
+use crate::view::freshness::{OwnReads, ViewAge};
 use crate::view::relay::ViewRelay;
 use crate::worker_client::{StartCall, StopCall, WorkerIncarnation, WorkerRun};
 
@@ -97,6 +98,8 @@
     Poll,
     /// Save the worker's report, so that a restarted agent can load it.
     SaveReport(WorkerReport),
+    /// Read the operators' records and pass the result to [`Supervisor::view_read`].
+    ReadView,
 }
 
 /// Values of the agent's gauges.
@@ -154,6 +157,8 @@
     clients: Clients,
     offers: Offers,
     view: ViewSummary,
+    view_age: ViewAge,
+    own_reads: OwnReads,
     /// Copy of the operator view for entries that start while the records cannot be read.
     view_copy: Option<EncodedView>,
     /// Sessions of the entries that asked for the copy.
@@ -189,6 +194,8 @@
             clients: Clients::default(),
             offers: Offers::default(),
             view: ViewSummary::default(),
+            view_age: ViewAge::default(),
+            own_reads: OwnReads::new(name),
             view_copy: None,
             keeping_for: BTreeSet::new(),
             view_fetch: operator_view::new_fetch(name),
@@ -328,6 +335,7 @@
         self.drop_queued_run(now);
         self.close_retired_sessions(now);
         self.fetch_view(now);
+        self.read_view_if_due(now);
         self.resolve_unanswered(now);
         self.mark_expired_runs_lost(now);
         let started_at_ms = self.worker.as_ref().map(|w| w.incarnation.started_at_ms);
@@ -345,6 +353,7 @@
     /// so the last contacts are that much older than they seem.
     pub fn suspended_for(&mut self, time: Duration) {
         self.clients.age_contacts(time);
+        self.view_age.suspended_for(time);
         if let Some(base) = self.probe_base.checked_sub(time) {
             self.probe_base = base;
         }
@@ -374,6 +383,9 @@
         if !self.clients.get(id).is_some_and(|c| c.has_authority(now)) {
             return Some(NotStartedReason::ViewStale);
         }
+        if !self.own_reads.allow_use(&self.view_age, now) {
+            return Some(NotStartedReason::ViewStale);
+        }
         if self.runs.contains(&request.id.task) {
             return Some(NotStartedReason::AlreadyKnown);
         }
--- a/crates/masticcross-jobs/src/supervisor/notifications.rs
+++ b/crates/masticcross-jobs/src/supervisor/notifications.rs
@@ -4,7 +4,7 @@
 
 use masticcross_wire::NotStartedReason;
 use masticcross_wire::pool::{
-    EntryAddr, PoolFrame, Resources, Resume, RoomDemand, RunEnd, RunId, RunResult,
+    Echo, EntryAddr, PoolFrame, Resources, Resume, RoomDemand, RunEnd, RunId, RunResult,
 };
 use tokio::time::Instant;
 
@@ -49,7 +49,7 @@
         }
         let frames = [
             PoolFrame::Entries(self.clients.addrs()),
-            PoolFrame::View(self.view_announcement()),
+            PoolFrame::View(self.view_announcement(now)),
             PoolFrame::Resume(resume),
             PoolFrame::Worker(self.advertised(now)),
         ];
@@ -103,10 +103,16 @@
     }
 
     /// Handles the echo of a probe.
-    pub fn echoed(&mut self, session: SessionId, probe: u64, now: Instant) {
-        let sent_at = (self.probe_base + Duration::from_millis(probe)).min(now);
+    pub fn echoed(&mut self, session: SessionId, echo: Echo, now: Instant) {
+        let since_base = Duration::from_millis(echo.probe);
+        let sent_at = self
+            .probe_base
+            .checked_add(since_base)
+            .unwrap_or(now)
+            .min(now);
         if let Some(client) = self.clients.of_session(session) {
             client.record_contact(sent_at);
+            self.view_confirmed(echo.view_position, echo.view_age_ms, sent_at);
         }
     }
 
--- a/crates/masticcross-jobs/src/supervisor/operator_view.rs
+++ b/crates/masticcross-jobs/src/supervisor/operator_view.rs
@@ -3,13 +3,17 @@
 
 use std::time::Duration;
 
-use masticcross_wire::pool::{PoolFrame, ViewAnnouncement, ViewPart, ViewRange};
+use masticcross_wire::pool::{
+    OperatorView, PoolFrame, ViewAnnouncement, ViewPart, ViewRange, ViewSummary,
+};
 use tokio::time::Instant;
 use twox_hash::XxHash3_64;
 
 use super::{Effect, SessionId, Supervisor};
 use crate::view::encoded::EncodedView;
 use crate::view::fetch::{FetchPace, Progress, ViewFetch};
+use crate::view::freshness::confirmed_at;
+use crate::view_reader;
 
 /// Minimum time between a change and the first request for a copy.
 const MIN_FETCH_DELAY: Duration = Duration::from_secs(1);
@@ -42,22 +46,95 @@
             self.keeping_for.remove(&session);
         }
         self.view_fetch.announced(session, summary.position);
-        if summary.position > self.view.position {
-            log::info!(
-                position = summary.position, version = summary.config_version;
-                "operators' orders"
-            );
-            self.view = summary;
-            let sessions: Vec<SessionId> = self.clients.sessions().collect();
-            for other in sessions.into_iter().filter(|s| *s != session) {
-                let frame = PoolFrame::View(self.view_announcement());
-                self.effects.push(Effect::Send(other, frame));
-            }
+        let position = summary.position;
+        let is_newer = position > self.view.position;
+        if is_newer {
+            self.apply_view(summary);
+        }
+        // The entry sent the announcement after its last answer, which is on the same connection.
+        let told_at = self
+            .clients
+            .of_session(session)
+            .map(|client| client.last_contact());
+        if let Some(told_at) = told_at {
+            self.view_confirmed(position, view.age_ms, told_at);
+        }
+        if is_newer {
+            self.announce_view(Some(session), now);
             self.publish(now);
         }
         self.fetch_view(now);
     }
 
+    fn apply_view(&mut self, summary: ViewSummary) {
+        log::info!(
+            position = summary.position, version = summary.config_version, zones_out:? = summary.zones_out;
+            "operators' orders"
+        );
+        self.view_age.applied(summary.position);
+        self.view = summary;
+    }
+
+    /// Announces the view on all sessions but one.
+    fn announce_view(&mut self, except: Option<SessionId>, now: Instant) {
+        let sessions: Vec<SessionId> = self.clients.sessions().collect();
+        for session in sessions.into_iter().filter(|s| Some(*s) != except) {
+            let frame = PoolFrame::View(self.view_announcement(now));
+            self.effects.push(Effect::Send(session, frame));
+        }
+    }
+
+    /// Records the age of an entry's view, which it told at `told_at` or later.
+    pub(super) fn view_confirmed(&mut self, position: u64, age_ms: Option<u32>, told_at: Instant) {
+        if let Some(at) = confirmed_at(age_ms, told_at) {
+            self.view_age.confirmed(position, at, self.view.position);
+        }
+    }
+
+    /// Requests a read of the operators' records if the entries cannot read them.
+    pub(super) fn read_view_if_due(&mut self, now: Instant) {
+        let has_session = self.clients.open_sessions() > 0;
+        if self
+            .own_reads
+            .start_if_due(&self.view_age, has_session, now)
+        {
+            self.effects.push(Effect::ReadView);
+        }
+    }
+
+    /// Applies the result of a read of the operators' records that began at `read_at`, and tells the entries
+    /// how old the view is now.
+    pub fn view_read(
+        &mut self,
+        read: view_reader::Result<Option<OperatorView>>,
+        read_at: Instant,
+        now: Instant,
+    ) {
+        self.own_reads.ended(read.is_ok(), now);
+        let age_ms = self.view_age.to_ms(now);
+        let view = match read {
+            Ok(view) => view.unwrap_or_default(),
+            Err(error) => {
+                log::warn!(error:%, age_ms; "operators' records not read by the agent");
+                return;
+            }
+        };
+        log::info!(position = view.position, age_ms; "operators' records read by the agent");
+        if view.position > self.view.position {
+            self.apply_view(view.summary());
+        }
+        self.view_age
+            .confirmed(view.position, read_at, self.view.position);
+        if view.position > self.copy_position() {
+            match EncodedView::encode(&view) {
+                Ok(copy) => self.view_copy = Some(copy),
+                Err(error) => log::error!(error:%; "operator view cannot be encoded"),
+            }
+        }
+        self.announce_view(None, now);
+        self.publish(now);
+    }
+
     /// Answers an entry's request for a part of the operator view from the copy, or passes it on to
     /// an entry that has the view. If there is neither, the entry gets an older copy, as it may have no
     /// view at all.
@@ -96,10 +173,11 @@
     }
 
     /// Returns the announcement of the agent's view to entries.
-    pub(super) fn view_announcement(&self) -> ViewAnnouncement {
+    pub(super) fn view_announcement(&self, now: Instant) -> ViewAnnouncement {
         ViewAnnouncement {
             summary: self.view.clone(),
             keep_copy: false,
+            age_ms: self.view_age.to_ms(now),
         }
     }
 
--- a/crates/masticcross-jobs/src/supervisor/tests.rs
+++ b/crates/masticcross-jobs/src/supervisor/tests.rs
@@ -10,7 +10,7 @@
 use masticcross_wire::NotStartedReason;
 use masticcross_wire::crash::Isolation;
 use masticcross_wire::pool::{
-    EntryAddr, PoolFrame, Resources, RunEnd, RunId, RunRequest, RunResult, TaskId,
+    Echo, EntryAddr, PoolFrame, Resources, RunEnd, RunId, RunRequest, RunResult, TaskId,
     ViewAnnouncement, ViewPart, ViewRange, ViewSummary, WorkerInfo,
 };
 use smallvec::smallvec;
@@ -35,6 +35,7 @@
 // Declared here because they use the macro above.
 mod claims;
 mod lease;
+mod view_age;
 
 const LEASE: Duration = Duration::from_secs(1);
 const SESSION: SessionId = 1;
@@ -61,6 +62,13 @@
     }
 
     fn without_worker(now: Instant) -> Self {
+        let mut fixture = Self::without_view(now);
+        fixture.echo(SESSION, fixture.supervisor.probe(now));
+        fixture
+    }
+
+    /// Returns a supervisor whose entry has not told how old its operator view is.
+    fn without_view(now: Instant) -> Self {
         let mut supervisor = Supervisor::new("agent-1", LEASE, 1_000, now);
         supervisor.session_opened(&client(1), SESSION, now);
         Self {
@@ -85,7 +93,12 @@
     fn advance_in_contact(&mut self, time: Duration) {
         self.advance(time);
         let probe = self.supervisor.probe(self.now);
-        self.step(|s, now| s.echoed(SESSION, probe, now));
+        self.echo(SESSION, probe);
+    }
+
+    /// Answers a probe as an entry without a view does that has just read the operators' records.
+    fn echo(&mut self, session: SessionId, probe: u64) {
+        self.step(|s, now| s.echoed(session, echo(probe, 0, Some(0)), now));
     }
 
     fn clock_ms(&self) -> u64 {
@@ -312,6 +325,15 @@
             zones_out: zones_out.iter().map(|zone| Name::from(*zone)).collect(),
         },
         keep_copy: true,
+        age_ms: Some(0),
+    }
+}
+
+fn echo(probe: u64, view_position: u64, view_age_ms: Option<u32>) -> Echo {
+    Echo {
+        probe,
+        view_position,
+        view_age_ms,
     }
 }
 
@@ -431,7 +453,7 @@
         f.step(|s, _| s.suspended_for(Duration::from_secs(2)));
         f.submit(request(0, 2));
         // The answer to a probe from before the suspension may arrive after it.
-        f.step(|s, now| s.echoed(SESSION, probe, now));
+        f.echo(SESSION, probe);
         f.submit(request(1, 2));
         let not_started = RunResult::NotStarted(NotStartedReason::ViewStale);
         assert_eq!(f.results(), vec![not_started, not_started]);
@@ -542,7 +564,7 @@
         f.start_run(0, 6);
         let old_probe = f.supervisor.probe(f.now);
         f.advance(AUTHORITY_TIMEOUT / 2);
-        f.step(|s, now| s.echoed(SESSION, old_probe, now));
+        f.echo(SESSION, old_probe);
         f.advance(AUTHORITY_TIMEOUT / 2 + Duration::from_millis(10));
         assert_eq!(f.stops(), 1);
     };
--- a/crates/masticcross-jobs/src/supervisor/tests/offers.rs
+++ b/crates/masticcross-jobs/src/supervisor/tests/offers.rs
@@ -51,7 +51,7 @@
         self.advance(time);
         let probe = self.supervisor.probe(self.now);
         for session in [SESSION, OTHER, THIRD] {
-            self.step(|s, now| s.echoed(session, probe, now));
+            self.echo(session, probe);
         }
     }
 
--- a/crates/masticcross-jobs/src/view/mod.rs
+++ b/crates/masticcross-jobs/src/view/mod.rs
@@ -7,12 +7,14 @@
 //!
 //! - [`announcements`]: which views other processes have.
 //! - [`encoded`]: a view in the form in which it is sent.
+//! - [`freshness`]: how old a view is, and when an agent reads the operators' records itself.
 //! - [`fetch`]: when and where a process requests the parts of a newer view.
 //! - [`relay`]: requests that an agent passes on from one entry to another.
 
 pub mod announcements;
 pub mod encoded;
 pub mod fetch;
+pub mod freshness;
 pub mod relay;
 
 #[cfg(test)]
--- a/crates/masticcross-jobs/tests/agent.rs
+++ b/crates/masticcross-jobs/tests/agent.rs
@@ -17,7 +17,7 @@
 use masticcross_wire::{Dialer, Frame, Hello, Link, PROTOCOL_VERSION, Role, link};
 use parking_lot::Mutex;
 use smallvec::smallvec;
-use support::{EmptyReportStore, ResettingWorker};
+use support::{EmptyReportStore, NoRecords, ResettingWorker};
 use tokio::time::sleep;
 
 /// Dialer of an entry that sends its first frame after a delay.
@@ -84,7 +84,16 @@
     };
     let lease = Duration::from_secs(1);
     let store = Arc::new(EmptyReportStore);
-    Agent::new(identity, lease, 1, worker, store, dialer).expect("metrics")
+    Agent::new(
+        identity,
+        lease,
+        1,
+        worker,
+        store,
+        Arc::new(NoRecords),
+        dialer,
+    )
+    .expect("metrics")
 }
 
 #[tokio::test(start_paused = true)]
@@ -148,7 +157,16 @@
     let worker = Arc::new(ResettingWorker::after_polls(1));
     let dialer = SlowEntryDialer::new(Duration::ZERO);
     let lease = Duration::from_secs(1);
-    let agent = Agent::new(identity, lease, 1, worker, store.clone(), dialer).expect("metrics");
+    let agent = Agent::new(
+        identity,
+        lease,
+        1,
+        worker,
+        store.clone(),
+        Arc::new(NoRecords),
+        dialer,
+    )
+    .expect("metrics");
     let running = tokio::spawn(agent.clone().run());
     assert!(agent.worker_reported(report()));
     sleep(Duration::from_millis(10)).await;
--- a/crates/masticcross-jobs/tests/crashes/play.rs
+++ b/crates/masticcross-jobs/tests/crashes/play.rs
@@ -196,15 +196,16 @@
 
 /// Plays a scenario.
 pub fn play(scenario: &Scenario, seed: u64) -> Report {
+    let base = Instant::now();
     let mut play = Play {
         rng: SmallRng::seed_from_u64(seed),
         scenario: scenario.clone(),
-        base: Instant::now(),
+        base,
         now_ms: 1_000,
         events: BTreeMap::new(),
         order: BinaryHeap::new(),
         next: 0,
-        entries: (0..scenario.entries).map(|_| new_entry(1)).collect(),
+        entries: (0..scenario.entries).map(|_| new_entry(1, base)).collect(),
         agents: Vec::new(),
         workers: Vec::new(),
         up: vec![true; scenario.workers],
@@ -357,6 +358,7 @@
             self.execute_agent_effects(agent);
         }
         for entry in 0..self.entries.len() {
+            self.entries[entry].scheduler.view_confirmed(now);
             self.entries[entry].scheduler.tick(now);
             self.execute_entry_effects(entry);
         }
@@ -493,7 +495,7 @@
         let session = session(agent, entry, incarnation);
         let supervisor = &mut self.agents[agent];
         match frame {
-            PoolFrame::Echo(probe) => supervisor.echoed(session, probe, now),
+            PoolFrame::Echo(echo) => supervisor.echoed(session, echo, now),
             PoolFrame::View(view) => supervisor.view_announced(session, view, now),
             PoolFrame::Run(requests) => supervisor.run(session, requests, now),
             PoolFrame::Stop(ids) => supervisor.stop(session, &ids, now),
@@ -512,7 +514,8 @@
         let scheduler = &mut self.entries[entry].scheduler;
         match frame {
             PoolFrame::Probe(probe) => {
-                let echo = Event::ToAgent(agent, entry, incarnation, PoolFrame::Echo(probe));
+                let echo = PoolFrame::Echo(scheduler.echo(probe, now));
+                let echo = Event::ToAgent(agent, entry, incarnation, echo);
                 return self.after(DELAY_MS, echo);
             }
             PoolFrame::Worker(info) => scheduler.worker_changed(&name, session, info, now),
@@ -543,7 +546,9 @@
                     }
                 }
                 supervisor::Effect::Poll => self.after(DELAY_MS, Event::Poll(agent, false)),
-                supervisor::Effect::Close(_) | supervisor::Effect::SaveReport(_) => {}
+                supervisor::Effect::Close(_)
+                | supervisor::Effect::SaveReport(_)
+                | supervisor::Effect::ReadView => {}
             }
         }
     }
@@ -606,7 +611,8 @@
 
     fn kill_entry(&mut self, entry: usize) {
         let incarnation = self.entries[entry].incarnation + 10;
-        let old = std::mem::replace(&mut self.entries[entry], new_entry(incarnation));
+        let started = new_entry(incarnation, self.now());
+        let old = std::mem::replace(&mut self.entries[entry], started);
         for job in old.jobs.into_values() {
             let played = self.report.jobs.get_mut(&job).expect("a played job");
             played.resubmitted = true;
@@ -624,13 +630,15 @@
     ms * 8 / 5 + 60
 }
 
-fn new_entry(incarnation: u64) -> EntryState {
+fn new_entry(incarnation: u64, now: Instant) -> EntryState {
     let mut scheduler = Scheduler::new("zone".into());
-    scheduler.update_view(OperatorView {
+    let view = OperatorView {
         position: 1,
         queues: (0..KINDS.len()).map(queue).collect(),
         ..OperatorView::default()
-    });
+    };
+    scheduler.update_view(view, now);
+    scheduler.view_confirmed(now);
     EntryState {
         scheduler,
         incarnation,
--- a/crates/masticcross-jobs/tests/decision_cost/load.rs
+++ b/crates/masticcross-jobs/tests/decision_cost/load.rs
@@ -46,11 +46,12 @@
             jobs: 0,
             placed: 0,
         };
-        load.scheduler.update_view(OperatorView {
+        let view = OperatorView {
             position: 1,
             queues: vec![queue()],
             ..OperatorView::default()
-        });
+        };
+        load.scheduler.update_view(view, load.now);
         for worker in 0..load.free.len() {
             load.connect(worker);
         }
--- a/crates/masticcross-jobs/tests/extreme_input.rs
+++ b/crates/masticcross-jobs/tests/extreme_input.rs
@@ -13,9 +13,9 @@
 use masticcross_wire::NotStartedReason;
 use masticcross_wire::crash::{CrashedRun, Isolation, WorkerCrash};
 use masticcross_wire::pool::{
-    EntryAddr, FreeResources, OperatorView, PriorityDemand, Queue, Resources, Resume, RoomDemand,
-    RunEnd, RunId, RunRequest, RunResult, TaskId, ViewAnnouncement, ViewPart, ViewRange,
-    WorkerInfo,
+    Echo, EntryAddr, FreeResources, OperatorView, PriorityDemand, Queue, Resources, Resume,
+    RoomDemand, RunEnd, RunId, RunRequest, RunResult, TaskId, ViewAnnouncement, ViewPart,
+    ViewRange, WorkerInfo,
 };
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use smallvec::smallvec;
@@ -168,6 +168,22 @@
         }
     }
 
+    fn announcement(&mut self) -> ViewAnnouncement {
+        ViewAnnouncement {
+            summary: self.view().summary(),
+            keep_copy: self.small() > 0,
+            age_ms: (self.small() > 0).then(|| self.short()),
+        }
+    }
+
+    fn echo(&mut self) -> Echo {
+        Echo {
+            probe: self.next(),
+            view_position: self.next(),
+            view_age_ms: (self.small() > 0).then(|| self.short()),
+        }
+    }
+
     fn view(&mut self) -> OperatorView {
         let stretches = [f64::NAN, f64::INFINITY, -1.0, 1.5];
         let queue = Queue {
@@ -193,13 +209,13 @@
     let agent = format!("agent-{session}").into();
     match kind % 13 {
         12 => scheduler.crashes_announced(session, &[n.crash()], now),
-        8 => scheduler.view_announced(session, n.next(), now),
+        8 => scheduler.view_announced(session, &n.announcement(), now),
         10 => scheduler.view_requested(session, n.range()),
         11 => {
             scheduler.view_part_received(session, &n.part(), now);
         }
         0 => {
-            scheduler.update_view(n.view());
+            scheduler.update_view(n.view(), now);
         }
         1 => {
             scheduler.session_opened(&agent, n.next(), session, now);
@@ -255,11 +271,7 @@
         }
         9 => supervisor.crashes_announced(session, vec![n.crash()], now),
         7 => {
-            let view = ViewAnnouncement {
-                summary: n.view().summary(),
-                keep_copy: n.small() > 0,
-            };
-            supervisor.view_announced(session, view, now);
+            supervisor.view_announced(session, n.announcement(), now);
         }
         8 => supervisor.view_requested(session, n.range()),
         0 => {
@@ -269,7 +281,7 @@
             };
             supervisor.session_opened(&client, session, now);
         }
-        1 => supervisor.echoed(session, n.next(), now),
+        1 => supervisor.echoed(session, n.echo(), now),
         2 => {
             let request = RunRequest {
                 id: n.run(),
--- a/crates/masticcross-jobs/tests/locality/play.rs
+++ b/crates/masticcross-jobs/tests/locality/play.rs
@@ -136,7 +136,7 @@
             queues: (0..KINDS.len()).map(queue).collect(),
             ..OperatorView::default()
         };
-        self.scheduler.update_view(view);
+        self.scheduler.update_view(view, self.now());
         for worker in 0..WORKERS {
             let (name, session) = (name(worker), session(worker));
             let info = WorkerInfo {
--- a/crates/masticcross-jobs/tests/overload/play.rs
+++ b/crates/masticcross-jobs/tests/overload/play.rs
@@ -136,7 +136,7 @@
             queues,
             ..OperatorView::default()
         };
-        self.scheduler.update_view(view);
+        self.scheduler.update_view(view, self.now());
         for worker in 0..self.used_cores.len() {
             let (name, session) = (name(worker), session(worker));
             let info = WorkerInfo {
--- a/crates/masticcross-jobs/tests/schedule/simulation.rs
+++ b/crates/masticcross-jobs/tests/schedule/simulation.rs
@@ -189,7 +189,8 @@
             counts: Counts::default(),
         };
         for entry in 0..2 {
-            simulation.entries.push(new_entry(1 + entry));
+            let entry = new_entry(1 + entry, simulation.instant());
+            simulation.entries.push(entry);
         }
         for agent in 0..3 {
             simulation
@@ -301,6 +302,7 @@
             }
         }
         for entry in 0..self.entries.len() {
+            self.entries[entry].scheduler.view_confirmed(now);
             self.entries[entry].scheduler.tick(now);
             self.execute_entry_effects(entry);
         }
@@ -495,7 +497,7 @@
         let now = self.instant();
         let supervisor = &mut self.agents[agent].supervisor;
         match frame {
-            PoolFrame::Echo(probe) => supervisor.echoed(number, probe, now),
+            PoolFrame::Echo(echo) => supervisor.echoed(number, echo, now),
             PoolFrame::Demand(demand) => supervisor.demand_received(number, &demand, now),
             PoolFrame::View(view) => supervisor.view_announced(number, view, now),
             PoolFrame::FetchView(range) => supervisor.view_requested(number, range),
@@ -527,7 +529,7 @@
             PoolFrame::Probe(probe) => {
                 let demand = state.scheduler.demand(&name, number, now);
                 let mut frames: Vec<_> = demand.map(PoolFrame::Demand).into_iter().collect();
-                frames.push(PoolFrame::Echo(probe));
+                frames.push(PoolFrame::Echo(state.scheduler.echo(probe, now)));
                 self.send_message_to_agent(agent, entry, frames);
             }
             PoolFrame::Worker(info) => state.scheduler.worker_changed(&name, number, info, now),
@@ -537,10 +539,7 @@
             PoolFrame::Crashes(crashes) => {
                 state.scheduler.crashes_announced(number, &crashes, now);
             }
-            PoolFrame::View(view) => {
-                let position = view.summary.position;
-                state.scheduler.view_announced(number, position, now);
-            }
+            PoolFrame::View(view) => state.scheduler.view_announced(number, &view, now),
             PoolFrame::FetchView(range) => state.scheduler.view_requested(number, range),
             PoolFrame::ViewPart(part) => {
                 state.scheduler.view_part_received(number, &part, now);
@@ -589,7 +588,7 @@
                 }
                 supervisor::Effect::Close(number) => self.close_session(agent, number),
                 supervisor::Effect::Poll => self.after(1, Event::Poll(agent, incarnation)),
-                supervisor::Effect::SaveReport(_) => {}
+                supervisor::Effect::SaveReport(_) | supervisor::Effect::ReadView => {}
             }
         }
     }
@@ -791,7 +790,8 @@
 
     fn restart_entry(&mut self, entry: usize) {
         let incarnation = self.entries[entry].incarnation + 10;
-        let lost = std::mem::replace(&mut self.entries[entry], new_entry(incarnation)).jobs;
+        let started = new_entry(incarnation, self.instant());
+        let lost = std::mem::replace(&mut self.entries[entry], started).jobs;
         for job in lost.into_values() {
             self.may_run.insert(job.clone());
             self.after(RESUBMIT_MS, Event::Submit(job));
@@ -853,7 +853,7 @@
     }
 }
 
-fn new_entry(incarnation: u64) -> EntryState {
+fn new_entry(incarnation: u64, now: Instant) -> EntryState {
     let mut scheduler = Scheduler::new("zone".into());
     let queue = Queue {
         name: "queue".into(),
@@ -865,11 +865,13 @@
         stretch: 2.0,
         latency_target_ms: 500,
     };
-    scheduler.update_view(OperatorView {
+    let view = OperatorView {
         position: 1,
         queues: vec![queue],
         ..OperatorView::default()
-    });
+    };
+    scheduler.update_view(view, now);
+    scheduler.view_confirmed(now);
     EntryState {
         scheduler,
         incarnation,
--- a/crates/masticcross-jobs/tests/shared_workers/play.rs
+++ b/crates/masticcross-jobs/tests/shared_workers/play.rs
@@ -176,7 +176,7 @@
 pub fn play(load: Load, seed: u64) -> Outcomes {
     let base = Instant::now();
     let entry = |_| EntryState {
-        scheduler: new_scheduler(),
+        scheduler: new_scheduler(base),
         inputs: Vec::new(),
         open: BTreeMap::new(),
     };
@@ -352,6 +352,7 @@
                 Input::Frame(agent, frame) => self.deliver_to_entry(agent, entry, frame),
                 Input::Job { kind, arrived } => self.submit(entry, kind, arrived),
                 Input::Tick => {
+                    self.entries[entry].scheduler.view_confirmed(now);
                     self.entries[entry].scheduler.tick(now);
                     self.after(TICK_MS, Event::Input(entry, Input::Tick));
                 }
@@ -369,15 +370,14 @@
                 if let Some(demand) = demand.filter(|_| self.load.tells_demand) {
                     self.send_to_agent(session, PoolFrame::Demand(demand));
                 }
-                self.send_to_agent(session, PoolFrame::Echo(probe));
+                let echo = self.entries[entry].scheduler.echo(probe, now);
+                self.send_to_agent(session, PoolFrame::Echo(echo));
             }
             PoolFrame::Worker(info) => scheduler.worker_changed(&name, session, info, now),
             PoolFrame::Free(free) => scheduler.update_free(&name, session, free, now),
             PoolFrame::Resume(resume) => scheduler.resumed(&name, session, &resume, now),
             PoolFrame::Ended(ends) => scheduler.ended(&name, session, &ends, now),
-            PoolFrame::View(view) => {
-                scheduler.view_announced(session, view.summary.position, now);
-            }
+            PoolFrame::View(view) => scheduler.view_announced(session, &view, now),
             PoolFrame::FetchView(range) => scheduler.view_requested(session, range),
             PoolFrame::Entries(_) => {}
             other => panic!("{} sent to an entry", other.kind()),
@@ -449,7 +449,9 @@
                 supervisor::Effect::Start(call) => self.after(1, Event::Start(agent, call)),
                 supervisor::Effect::Stop(call) => self.after(1, Event::Stop(agent, call)),
                 supervisor::Effect::Poll => self.after(1, Event::Poll(agent)),
-                supervisor::Effect::Close(_) | supervisor::Effect::SaveReport(_) => {}
+                supervisor::Effect::Close(_)
+                | supervisor::Effect::SaveReport(_)
+                | supervisor::Effect::ReadView => {}
             }
         }
     }
@@ -510,7 +512,7 @@
     now: Instant,
 ) {
     match frame {
-        PoolFrame::Echo(probe) => supervisor.echoed(session, probe, now),
+        PoolFrame::Echo(echo) => supervisor.echoed(session, echo, now),
         PoolFrame::Demand(demand) => supervisor.demand_received(session, &demand, now),
         PoolFrame::View(view) => supervisor.view_announced(session, view, now),
         PoolFrame::FetchView(range) => supervisor.view_requested(session, range),
@@ -521,7 +523,7 @@
     }
 }
 
-fn new_scheduler() -> Scheduler {
+fn new_scheduler(now: Instant) -> Scheduler {
     let mut scheduler = Scheduler::new("zone".into());
     let queue = |kind: usize| Queue {
         name: format!("queue-{kind}").into(),
@@ -533,11 +535,13 @@
         stretch: 1.6,
         latency_target_ms: 60,
     };
-    scheduler.update_view(OperatorView {
+    let view = OperatorView {
         position: 1,
         queues: (0..KINDS.len()).map(queue).collect(),
         ..OperatorView::default()
-    });
+    };
+    scheduler.update_view(view, now);
+    scheduler.view_confirmed(now);
     scheduler
 }
 
--- a/crates/masticcross-jobs/tests/support/mod.rs
+++ b/crates/masticcross-jobs/tests/support/mod.rs
@@ -6,9 +6,11 @@
 use futures_util::future::{BoxFuture, ready};
 use masticcross_jobs::report_store::WorkerReportStore;
 use masticcross_jobs::supervisor::WorkerReport;
+use masticcross_jobs::view_reader::{self, Unreadable, ViewReader};
 use masticcross_jobs::worker_client::{
     CallError, PollCall, Result, RunListing, StartAnswer, StartCall, StopCall, WorkerClient,
 };
+use masticcross_wire::pool::OperatorView;
 use tokio::time::sleep;
 
 /// Worker that resets every connection, except for the first polls.
@@ -59,6 +61,15 @@
     }
 }
 
+/// Reader of operators' records that cannot be read.
+pub struct NoRecords;
+
+impl ViewReader for NoRecords {
+    fn read(&self) -> BoxFuture<'_, view_reader::Result<Option<OperatorView>>> {
+        Box::pin(ready(Err(Unreadable("no store".to_owned()))))
+    }
+}
+
 /// Report store without reports.
 pub struct EmptyReportStore;
 
--- a/crates/masticcross-jobs/tests/thin_links.rs
+++ b/crates/masticcross-jobs/tests/thin_links.rs
@@ -14,7 +14,7 @@
 use masticcross_wire::pool::{EntryAddr, OperatorView, Queue};
 use masticcross_wire::{Dialer, Frame, Link, LinkError, codec, link};
 use parking_lot::Mutex;
-use support::{EmptyReportStore, ResettingWorker};
+use support::{EmptyReportStore, NoRecords, ResettingWorker};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -161,6 +161,7 @@
             1,
             Arc::<ResettingWorker>::default(),
             Arc::new(EmptyReportStore),
+            Arc::new(NoRecords),
             Arc::new(HostDialer(hosts.to_vec())),
         );
         let agent = agent.expect("metrics");
--- a/crates/masticcross-wire/src/codec/tests/pool.rs
+++ b/crates/masticcross-wire/src/codec/tests/pool.rs
@@ -7,8 +7,8 @@
 use crate::crash::{CrashedRun, Isolation, WorkerCrash};
 use crate::frame::NotStartedReason;
 use crate::pool::{
-    EntryAddr, FreeResources, OperatorView, PoolFrame, PriorityDemand, Queue, Resources, Resume,
-    RoomDemand, RunEnd, RunId, RunRequest, RunResult, TaskId, ViewAnnouncement, ViewPart,
+    Echo, EntryAddr, FreeResources, OperatorView, PoolFrame, PriorityDemand, Queue, Resources,
+    Resume, RoomDemand, RunEnd, RunId, RunRequest, RunResult, TaskId, ViewAnnouncement, ViewPart,
     ViewRange, WorkerInfo,
 };
 
@@ -16,10 +16,15 @@
 pub fn frame(g: &mut Gen) -> PoolFrame {
     match u8::arbitrary(g) % 14 {
         0 => PoolFrame::Probe(u64::arbitrary(g)),
-        1 => PoolFrame::Echo(u64::arbitrary(g)),
+        1 => PoolFrame::Echo(Echo {
+            probe: u64::arbitrary(g),
+            view_position: u64::arbitrary(g),
+            view_age_ms: Option::arbitrary(g),
+        }),
         2 => PoolFrame::View(ViewAnnouncement {
             summary: view(g).summary(),
             keep_copy: bool::arbitrary(g),
+            age_ms: Option::arbitrary(g),
         }),
         3 => PoolFrame::Entries(list(g, |g| EntryAddr {
             name: name(g),
--- a/crates/masticcross-wire/src/lib.rs
+++ b/crates/masticcross-wire/src/lib.rs
@@ -32,7 +32,7 @@
 pub use view::{AgentView, Member, PartitionOwner, ViewVersion};
 
 /// Version of the protocol, exchanged in [`Hello`]. Both sides must use the same version.
-pub const PROTOCOL_VERSION: u16 = 5;
+pub const PROTOCOL_VERSION: u16 = 6;
 
 /// Number of one start of a process. A later start of the same process has a larger number.
 pub type Incarnation = u64;
--- a/crates/masticcross-wire/src/pool.rs
+++ b/crates/masticcross-wire/src/pool.rs
@@ -279,6 +279,40 @@
     pub summary: ViewSummary,
     /// From an entry: whether the agent is asked to keep a copy of the whole view.
     pub keep_copy: bool,
+    /// Time since a read of the operators' records showed that there is no newer view, in
+    /// milliseconds; none if that is not known.
+    pub age_ms: Option<u32>,
+}
+
+/// Answer of an entry to a probe.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "EchoFields", into = "EchoFields")]
+pub struct Echo {
+    /// The time of the probe, sent back.
+    pub probe: u64,
+    /// Position of the entry's operator view; 0 without a view.
+    pub view_position: u64,
+    /// Age of that view as in a [`ViewAnnouncement`], in milliseconds.
+    pub view_age_ms: Option<u32>,
+}
+
+/// Encoded form of an [`Echo`], without the names of the fields, as it is sent several times a second.
+type EchoFields = (u64, u64, Option<u32>);
+
+impl From<EchoFields> for Echo {
+    fn from((probe, view_position, view_age_ms): EchoFields) -> Self {
+        Self {
+            probe,
+            view_position,
+            view_age_ms,
+        }
+    }
+}
+
+impl From<Echo> for EchoFields {
+    fn from(echo: Echo) -> Self {
+        (echo.probe, echo.view_position, echo.view_age_ms)
+    }
 }
 
 /// A part of an encoded operator view.
@@ -340,8 +374,8 @@
 pub enum PoolFrame {
     /// From the agent: the time on its own clock, in milliseconds.
     Probe(u64),
-    /// From the entry: the time of a probe, sent back.
-    Echo(u64),
+    /// From the entry: the answer to a probe.
+    Echo(Echo),
     /// From the entry, before an echo: work that waits for free resources. Not sent while none waits.
     Demand(RoomDemand),
     /// From either: summary of the sender's operator settings.
