Start nothing by a worker's saved report after an agent's restart

Cause: a restarted agent took the saved report for the worker's present state, although it may be older than the last heartbeat that the earlier process acknowledged, as a save is retried and lost with the process. The property that was missing: a restored state never allows more than the earlier process knew when it ended. The same holds for a worker that drains, and for its labels.

Change: a saved report shows which worker to poll, so that runs of the earlier process are stopped at once, and nothing else. Until the first heartbeat the agent uses what the earlier process told the entries: each heartbeat that changes something goes to all entries, and an entry tells it to the next process, with the time since it last heard from the one before. The report of the entry that heard last counts, for 2 s. What a process has only been told is not passed on as its own. It also names the worker while the store is down.

Ruled out: waiting for the next heartbeat, which takes up to 1.5 s after each restart; saving before a heartbeat is acknowledged, as the room counts from the time at which the worker shrank, not from the acknowledgement.

--- a/crates/masticcross-jobs/src/agent/sessions.rs
+++ b/crates/masticcross-jobs/src/agent/sessions.rs
@@ -157,6 +157,9 @@
             PoolFrame::Echo(echo) => {
                 self.with_supervisor(|supervisor, now| supervisor.echoed(session, echo, now));
             }
+            PoolFrame::EarlierReport(report) => self.with_supervisor(|supervisor, now| {
+                supervisor.earlier_report_told(session, report, now);
+            }),
             PoolFrame::Demand(demand) => self.with_supervisor(|supervisor, now| {
                 supervisor.demand_received(session, &demand, now);
             }),
@@ -181,6 +184,7 @@
             }),
             PoolFrame::Probe(_)
             | PoolFrame::Worker(_)
+            | PoolFrame::Report(_)
             | PoolFrame::Free(_)
             | PoolFrame::Resume(_)
             | PoolFrame::Ended(_) => {
--- a/crates/masticcross-jobs/src/entry.rs
+++ b/crates/masticcross-jobs/src/entry.rs
@@ -439,9 +439,13 @@
                 {
                     state.send(session, PoolFrame::Demand(demand));
                 }
+                state.scheduler.heard_from(agent, session, now);
                 let echo = state.scheduler.echo(probe, now);
                 state.send(session, PoolFrame::Echo(echo));
             }
+            PoolFrame::Report(worker) => {
+                state.scheduler.report_received(agent, session, worker, now);
+            }
             PoolFrame::Worker(info) => {
                 state.scheduler.worker_changed(agent, session, info, now);
             }
@@ -468,6 +472,7 @@
             PoolFrame::Entries(_)
             | PoolFrame::Resume(_)
             | PoolFrame::Echo(_)
+            | PoolFrame::EarlierReport(_)
             | PoolFrame::Demand(_)
             | PoolFrame::Run(_)
             | PoolFrame::Stop(_) => {}
--- a/crates/masticcross-jobs/src/scheduler/mod.rs
+++ b/crates/masticcross-jobs/src/scheduler/mod.rs
@@ -10,6 +10,7 @@
 //! - `closing`: ends of jobs.
 //! - `crashes`: crashes of workers.
 //! - `demand`: the waiting work that agents are told.
+//! - `last_reports`: what agents have told of their workers, kept for their next processes.
 //! - `operator_view`: the operators' settings, and their exchange with agents.
 //!
 //! This module does no I/O and never blocks. Methods take the current time and queue [`Effect`]s,
@@ -22,6 +23,7 @@
 mod demand;
 mod ends;
 mod jobs;
+mod last_reports;
 mod locality;
 mod operator_view;
 pub mod place_wait;
@@ -55,6 +57,7 @@
 
 use admission::{ArrivalRates, RecentShare, Saturation, Work};
 use jobs::Jobs;
+use last_reports::LastReports;
 use locality::Locality;
 pub use locality::PlaceWaits;
 pub use operator_view::ViewStatus;
@@ -146,6 +149,7 @@
     saturation: Saturation,
     locality: Locality,
     waiting_sums: demand::WaitingSums,
+    last_reports: LastReports,
     view_fetch: ViewFetch,
     /// The operator view in the form in which it is sent, if it was requested.
     encoded_view: Option<EncodedView>,
@@ -180,6 +184,7 @@
             saturation: Saturation::default(),
             locality: Locality::default(),
             waiting_sums: demand::WaitingSums::default(),
+            last_reports: LastReports::default(),
             view_fetch: ViewFetch::new(operator_view::FETCH_PACE, 0),
             encoded_view: None,
             view_keepers: SmallVec::new(),
@@ -298,6 +303,7 @@
             let worker = Worker::new(name.clone(), incarnation, session, now);
             self.workers.insert(worker);
         }
+        self.tell_earlier_report(name, session, now);
         self.place_changed(name, now);
         self.choose_view_keepers(now);
         if !self.view_keepers.contains(&session) {
--- a/crates/masticcross-jobs/src/scheduler/tests.rs
+++ b/crates/masticcross-jobs/src/scheduler/tests.rs
@@ -10,8 +10,9 @@
 use masticcross_basics::{Code, Name};
 use masticcross_wire::NotStartedReason;
 use masticcross_wire::pool::{
-    FreeResources, OperatorView, PoolFrame, Queue, Resources, Resume, RunEnd, RunId, RunRequest,
-    RunResult, ViewAnnouncement, ViewRange, ViewSummary, WorkerInfo,
+    EarlierReport, FreeResources, OperatorView, PoolFrame, Queue, ReportedWorker, Resources,
+    Resume, RunEnd, RunId, RunRequest, RunResult, ViewAnnouncement, ViewRange, ViewSummary,
+    WorkerInfo,
 };
 use smallvec::{SmallVec, smallvec};
 use tokio::time::Instant;
@@ -397,6 +398,40 @@
         assert_eq!((echo.probe, echo.view_position, echo.view_age_ms), (5, 8, Some(300)));
     };
 
+    // Guards against a new process of an agent that has only what the one before could save.
+    a_new_process_of_an_agent_is_told_what_the_one_before_has_told => |mut f: Fixture| {
+        let reported = |cores| ReportedWorker { id: "w-1".into(), started_at_ms: 1, info: worker("zone-a", cores) };
+        let told = |f: &mut Fixture| {
+            let effects = f.scheduler.take_effects().into_iter();
+            let told = effects.filter_map(|effect| match effect {
+                Effect::Send(session, PoolFrame::EarlierReport(report)) => Some((session, report)),
+                _ => None,
+            });
+            told.collect::<Vec<_>>()
+        };
+        f.scheduler.session_opened(&name(1), 1, 1, f.now);
+        f.scheduler.report_received(&name(1), 1, reported(8), f.now);
+        f.scheduler.report_received(&name(1), 1, reported(4), f.now);
+        f.now += SECOND;
+        f.scheduler.heard_from(&name(1), 1, f.now);
+        f.scheduler.session_closed(&name(1), 1, f.now);
+        f.scheduler.session_opened(&name(1), 1, 2, f.now);
+        assert_eq!(told(&mut f), vec![], "the same process knows it");
+        f.now += SECOND;
+        f.scheduler.session_opened(&name(1), 2, 3, f.now);
+        let report = EarlierReport { worker: reported(4), age_ms: 1_000 };
+        assert_eq!(told(&mut f), vec![(3, report.clone())]);
+        // A process that has not heard from its worker does not make the report younger.
+        f.now += SECOND;
+        f.scheduler.heard_from(&name(1), 3, f.now);
+        f.scheduler.session_opened(&name(1), 3, 4, f.now);
+        let report = EarlierReport { age_ms: 2_000, ..report };
+        assert_eq!(told(&mut f), vec![(4, report)]);
+        f.now += 5 * SECOND;
+        f.scheduler.session_opened(&name(1), 4, 5, f.now);
+        assert_eq!(told(&mut f), vec![]);
+    };
+
     // Guards against an old view that counts as fresh because another process has read a newer one.
     the_age_of_a_newer_view_counts_once_the_entry_has_it => |mut f: Fixture| {
         f.scheduler.session_opened(&name(1), 1, 1, f.now);
--- a/crates/masticcross-jobs/src/supervisor/calls.rs
+++ b/crates/masticcross-jobs/src/supervisor/calls.rs
@@ -263,8 +263,8 @@
                 id: incarnation.id,
                 started_at_ms: listing.started_at_ms,
             };
-            if let Some(report) = self.claims.take(&restarted) {
-                self.accept(report, now);
+            if let Some((report, source)) = self.claims.take(&restarted) {
+                self.accept(report, source, now);
             } else {
                 self.record_crash(now);
                 self.start_incarnation(restarted, now);
--- a/crates/masticcross-jobs/src/supervisor/claims.rs
+++ b/crates/masticcross-jobs/src/supervisor/claims.rs
@@ -5,13 +5,13 @@
 
 use std::time::Duration;
 
-use masticcross_wire::pool::WorkerInfo;
+use masticcross_wire::pool::{EarlierReport, PoolFrame, ReportedWorker, WorkerInfo};
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
 use crate::worker_client::{CallError, PollCall, Result, RunListing, WorkerIncarnation};
 
-use super::{Effect, Supervisor, Worker, WorkerReport};
+use super::{Effect, SessionId, Supervisor, Worker, WorkerReport};
 
 /// How long a claim is kept without a further report of its incarnation.
 const RETENTION: Duration = Duration::from_secs(5);
@@ -22,9 +22,40 @@
 /// Maximum number of claims; the oldest is dropped for a new one.
 const MAX_CLAIMS: usize = 4;
 
+/// How long what an earlier process knew of the worker is used after an entry last heard from that process.
+/// The worker may have told it more since, but not for longer than the time between two heartbeats, and
+/// within the time that operators allow for a worker that shrinks or leaves.
+const EARLIER_VALIDITY: Duration = Duration::from_secs(2);
+
+/// What the earlier process of the agent knew of the worker.
+#[derive(Debug)]
+pub(super) struct Earlier {
+    incarnation: WorkerIncarnation,
+    info: WorkerInfo,
+    /// When an entry last heard from that process.
+    heard_at: Instant,
+}
+
+impl Earlier {
+    /// Makes the knowledge older by the given time.
+    pub fn suspended_for(&mut self, time: Duration) {
+        self.heard_at = self.heard_at.checked_sub(time).unwrap_or(self.heard_at);
+    }
+}
+
+/// Where a report comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Source {
+    /// A heartbeat to this process of the agent.
+    Heartbeat,
+    /// An earlier process of the agent.
+    EarlierProcess,
+}
+
 #[derive(Debug)]
 struct Claim {
     report: WorkerReport,
+    source: Source,
     received_at: Instant,
     asked_at: Option<Instant>,
 }
@@ -41,13 +72,14 @@
     }
 
     /// Adds a report. Returns false if it is out of date.
-    pub fn add(&mut self, report: WorkerReport, now: Instant) -> bool {
+    pub fn add(&mut self, report: WorkerReport, source: Source, now: Instant) -> bool {
         let mut claims = self.claims.iter_mut();
         if let Some(claim) = claims.find(|c| c.report.incarnation == report.incarnation) {
             if report.sequence < claim.report.sequence {
                 return false;
             }
             claim.report = report;
+            claim.source = source;
             claim.received_at = now;
             return true;
         }
@@ -56,6 +88,7 @@
         }
         self.claims.push(Claim {
             report,
+            source,
             received_at: now,
             asked_at: None,
         });
@@ -78,10 +111,11 @@
     }
 
     /// Removes the claim of an incarnation and returns its last report.
-    pub fn take(&mut self, incarnation: &WorkerIncarnation) -> Option<WorkerReport> {
+    pub fn take(&mut self, incarnation: &WorkerIncarnation) -> Option<(WorkerReport, Source)> {
         let mut claims = self.claims.iter();
         let position = claims.position(|claim| claim.report.incarnation == *incarnation)?;
-        Some(self.claims.remove(position).report)
+        let claim = self.claims.remove(position);
+        Some((claim.report, claim.source))
     }
 
     /// Asks for an incarnation again with the next poll.
@@ -134,12 +168,16 @@
     pub fn worker_reported(&mut self, report: WorkerReport, now: Instant) -> bool {
         if let Some(worker) = &mut self.worker {
             if worker.incarnation == report.incarnation {
-                let before = worker.info.clone();
+                let (is_first, before) = (worker.sequence.is_none(), worker.info.clone());
                 if !worker.apply_report(&report) {
                     return false;
                 }
-                if worker.info != before {
+                let is_changed = worker.info != before;
+                if is_changed {
                     self.effects.push(Effect::SaveReport(report));
+                }
+                if is_changed || is_first {
+                    self.announce_report();
                     self.publish(now);
                 }
                 return true;
@@ -148,22 +186,93 @@
                 return false;
             }
         }
-        self.claim(report, now)
+        self.claim(report, Source::Heartbeat, now)
     }
 
-    /// Uses a report that an earlier agent process saved once the worker has confirmed its incarnation,
-    /// unless the worker has already sent a heartbeat.
+    /// Handles a report that an earlier agent process saved. It shows which worker to poll, unless the worker
+    /// has already sent a heartbeat. It does not show what the worker can take: the earlier process may have
+    /// known more than it could save.
     pub fn restore_report(&mut self, report: WorkerReport, now: Instant) {
         if self.worker.is_none() && self.claims.is_empty() {
             let sequence = 0;
-            self.claim(WorkerReport { sequence, ..report }, now);
+            let report = WorkerReport { sequence, ..report };
+            self.claim(report, Source::EarlierProcess, now);
+        }
+    }
+
+    /// Handles what an entry has heard last from the earlier process of this agent. Until the worker's first
+    /// heartbeat it stands for what that process knew when it ended.
+    pub fn earlier_report_told(&mut self, session: SessionId, report: EarlierReport, now: Instant) {
+        let Some(client) = self.clients.of_session(session) else {
+            return;
+        };
+        let age = Duration::from_millis(report.age_ms.into());
+        let Some(heard_at) = client.last_contact().checked_sub(age) else {
+            return;
+        };
+        if self
+            .earlier
+            .as_ref()
+            .is_some_and(|earlier| earlier.heard_at >= heard_at)
+        {
+            return;
+        }
+        let incarnation = WorkerIncarnation {
+            id: report.worker.id,
+            started_at_ms: report.worker.started_at_ms,
+        };
+        let info = report.worker.info;
+        if self.worker.is_none() && self.claims.is_empty() {
+            let claim = WorkerReport {
+                incarnation: incarnation.clone(),
+                sequence: 0,
+                info: info.clone(),
+            };
+            self.claim(claim, Source::EarlierProcess, now);
+        }
+        self.earlier = Some(Earlier {
+            incarnation,
+            info,
+            heard_at,
+        });
+        self.publish(now);
+    }
+
+    /// Returns what the earlier process of the agent knew of an incarnation, while it may be used.
+    pub(super) fn earlier_info(
+        &self,
+        incarnation: &WorkerIncarnation,
+        now: Instant,
+    ) -> Option<&WorkerInfo> {
+        let earlier = self.earlier.as_ref()?;
+        let age = now.saturating_duration_since(earlier.heard_at);
+        (earlier.incarnation == *incarnation && age < EARLIER_VALIDITY).then_some(&earlier.info)
+    }
+
+    /// Returns what the worker has told this process of the agent.
+    pub(super) fn reported_worker(&self) -> Option<ReportedWorker> {
+        let worker = self
+            .worker
+            .as_ref()
+            .filter(|worker| worker.sequence.is_some())?;
+        Some(ReportedWorker {
+            id: worker.incarnation.id.clone(),
+            started_at_ms: worker.incarnation.started_at_ms,
+            info: worker.info.clone()?,
+        })
+    }
+
+    /// Tells all entries what the worker has told, for the next process of the agent.
+    fn announce_report(&mut self) {
+        if let Some(report) = self.reported_worker() {
+            self.send_all(&PoolFrame::Report(report));
         }
     }
 
     /// Asks the worker whether it has the incarnation of a report.
-    fn claim(&mut self, report: WorkerReport, now: Instant) -> bool {
+    fn claim(&mut self, report: WorkerReport, source: Source, now: Instant) -> bool {
         let is_new = !self.claims.contains(&report.incarnation);
-        let is_accepted = self.claims.add(report, now);
+        let is_accepted = self.claims.add(report, source, now);
         if is_new {
             self.effects.push(Effect::Poll);
         }
@@ -172,7 +281,7 @@
 
     /// Starts to use the incarnation of a report, which the worker has confirmed. The runs at an earlier
     /// worker are lost.
-    pub(super) fn accept(&mut self, report: WorkerReport, now: Instant) {
+    pub(super) fn accept(&mut self, report: WorkerReport, source: Source, now: Instant) {
         let current = self.worker.as_ref().map(|worker| &worker.incarnation.id);
         let same_id = current == Some(&report.incarnation.id);
         self.record_crash(now);
@@ -180,12 +289,15 @@
             self.mark_all_runs_lost(now);
         }
         self.start_incarnation(report.incarnation.clone(), now);
+        let is_heartbeat = source == Source::Heartbeat;
         if let Some(worker) = &mut self.worker {
-            // A saved report has no number.
-            worker.sequence = (report.sequence > 0).then_some(report.sequence);
+            worker.sequence = is_heartbeat.then_some(report.sequence);
             worker.info = Some(report.info.clone());
         }
-        self.effects.push(Effect::SaveReport(report));
+        if is_heartbeat {
+            self.effects.push(Effect::SaveReport(report));
+            self.announce_report();
+        }
     }
 
     /// Handles the answer to a poll for a claimed incarnation. Only the worker's own start time confirms
@@ -204,8 +316,8 @@
         }
         match answer {
             Ok(listing) if listing.started_at_ms == claimed.started_at_ms => {
-                if let Some(report) = self.claims.take(claimed) {
-                    self.accept(report, now);
+                if let Some((report, source)) = self.claims.take(claimed) {
+                    self.accept(report, source, now);
                     self.apply_listing(call.token, &listing, now);
                 }
             }
--- a/crates/masticcross-jobs/src/supervisor/mod.rs
+++ b/crates/masticcross-jobs/src/supervisor/mod.rs
@@ -49,7 +49,7 @@
 use crate::worker_client::{StartCall, StopCall, WorkerIncarnation, WorkerRun};
 
 pub use calls::{POLL_WAIT, START_TIMEOUT};
-use claims::Claims;
+use claims::{Claims, Earlier};
 use clients::{Client, ClientId, Clients};
 use crashes::SilentLoss;
 use lease::Lease;
@@ -124,9 +124,9 @@
 struct Worker {
     incarnation: WorkerIncarnation,
     /// Information from the last heartbeat, or the saved one; none before the first one of this
-    /// incarnation.
+    /// incarnation. The saved one may be older than what the worker has told since.
     info: Option<WorkerInfo>,
-    /// Number of the last heartbeat; none before the first one.
+    /// Number of the last heartbeat; none before the first one to this process.
     sequence: Option<u64>,
     last_seen_end: u64,
     has_listing: bool,
@@ -145,6 +145,8 @@
     name: Name,
     worker: Option<Worker>,
     claims: Claims,
+    /// What the earlier process of the agent knew of the worker, as an entry has told.
+    earlier: Option<Earlier>,
     lease: Lease,
     runs: Runs,
     /// Crashes of the worker, and those that entries announced.
@@ -185,6 +187,7 @@
             name: name.into(),
             worker: None,
             claims: Claims::default(),
+            earlier: None,
             lease: Lease::new(lease, unix_ms),
             runs: Runs::default(),
             crash_log: CrashLog::default(),
@@ -354,6 +357,9 @@
     pub fn suspended_for(&mut self, time: Duration) {
         self.clients.age_contacts(time);
         self.view_age.suspended_for(time);
+        if let Some(earlier) = &mut self.earlier {
+            earlier.suspended_for(time);
+        }
         if let Some(base) = self.probe_base.checked_sub(time) {
             self.probe_base = base;
         }
@@ -455,7 +461,10 @@
         if !worker.has_listing || !worker.orphaned.is_empty() || since_answer > WORKER_TIMEOUT {
             return None;
         }
-        let mut info = worker.info.clone()?;
+        let mut info = match worker.sequence {
+            Some(_) => worker.info.clone()?,
+            None => self.earlier_info(&worker.incarnation, now)?.clone(),
+        };
         info.leaving |= self.closing;
         Some(info)
     }
--- a/crates/masticcross-jobs/src/supervisor/notifications.rs
+++ b/crates/masticcross-jobs/src/supervisor/notifications.rs
@@ -53,7 +53,11 @@
             PoolFrame::Resume(resume),
             PoolFrame::Worker(self.advertised(now)),
         ];
-        let sends = frames.into_iter().map(|frame| Effect::Send(session, frame));
+        let report = self.reported_worker().map(PoolFrame::Report);
+        let sends = report
+            .into_iter()
+            .chain(frames)
+            .map(|frame| Effect::Send(session, frame));
         self.effects.extend(sends);
         let resources = self.free_for(id, u32::MAX, now);
         let client = self.clients.get_mut(id);
--- a/crates/masticcross-jobs/tests/schedules.rs
+++ b/crates/masticcross-jobs/tests/schedules.rs
@@ -59,6 +59,11 @@
     no_task_runs_twice_despite_silent_workers: 500..560,
         Faults { kills: 8, silences: 8, work_ms: 900, worker_cores: 40, ..Faults::NONE },
         |counts: &Counts| counts.completed > 0;
+    // Guards against starts beyond the capacity of a worker that has shrunk, by an agent that restarts with
+    // a report from before.
+    no_worker_is_overloaded_despite_agents_that_restart_with_old_reports: 600..680,
+        Faults { kills: 10, resizes: 8, work_ms: 300, ..Faults::NONE },
+        |counts: &Counts| counts.completed > 0;
     jobs_are_answered_despite_all_faults: 300..400,
         Faults { sessions: 10, calls: 0.05, restarts: 8, replacements: 10, ..Faults::NONE },
         |counts: &Counts| counts.lost_calls > 0 && counts.completed > 0;
--- a/crates/masticcross-wire/src/pool.rs
+++ b/crates/masticcross-wire/src/pool.rs
@@ -159,6 +159,26 @@
     pub leaving: bool,
 }
 
+/// What a worker has told its agent of itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReportedWorker {
+    /// Id of the worker.
+    pub id: Name,
+    /// When the worker started, in milliseconds since the Unix epoch.
+    pub started_at_ms: u64,
+    /// Properties of the worker. It is leaving only if it has said so itself.
+    pub info: WorkerInfo,
+}
+
+/// What an earlier process of an agent has told an entry of its worker.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EarlierReport {
+    /// The worker, as the earlier process knew it last.
+    pub worker: ReportedWorker,
+    /// Time since the entry last heard from that process, in milliseconds.
+    pub age_ms: u32,
+}
+
 /// Resources that are free at a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FreeResources {
@@ -388,6 +408,10 @@
     Entries(Vec<EntryAddr>),
     /// From the agent: its worker; none if there is no worker at present.
     Worker(Option<WorkerInfo>),
+    /// From the agent: what its worker has told it in a heartbeat.
+    Report(ReportedWorker),
+    /// From the entry, if the agent's process is new: what the one before has told of the worker.
+    EarlierReport(EarlierReport),
     /// From the agent: free resources of its worker.
     Free(FreeResources),
     /// From the agent: the runs that it has for the entry.
@@ -415,6 +439,8 @@
             Self::ViewPart(_) => "view_part",
             Self::Entries(_) => "entries",
             Self::Worker(_) => "worker",
+            Self::Report(_) => "worker_report",
+            Self::EarlierReport(_) => "earlier_report",
             Self::Free(_) => "free",
             Self::Resume(_) => "resume",
             Self::Run(_) => "run",
@@ -433,6 +459,8 @@
             | Self::FetchView(_)
             | Self::ViewPart(_)
             | Self::Worker(_)
+            | Self::Report(_)
+            | Self::EarlierReport(_)
             | Self::Free(_) => 1,
             Self::Demand(demand) => demand.priorities.len(),
             Self::View(view) => view.summary.zones_out.len() + 1,
