Count an answered start as an answer of the worker

A worker that fails a part of its calls lost the extension of its lease after two missed polls although it went on to answer starts.

An answered start resets the number of missed polls.

--- a/crates/masticcross-jobs/src/supervisor/calls.rs
+++ b/crates/masticcross-jobs/src/supervisor/calls.rs
@@ -20,7 +20,8 @@
 /// How long the worker may delay the answer to a poll while no run ends.
 pub const POLL_WAIT: Duration = Duration::from_millis(100);
 
-/// Number of unanswered polls in a row after which the lease is no longer extended.
+/// Number of unanswered polls, without an answer to any call between them, after which the lease is no longer
+/// extended.
 const MAX_MISSED_POLLS: u32 = 2;
 
 /// Increment of a run's number at the worker after the worker refused the number as too low.
@@ -115,6 +116,9 @@
         match answer {
             Ok(answer) => {
                 self.lease.record_clock(answer.clock_ms, now);
+                if let Some(worker) = &mut self.worker {
+                    worker.missed_polls = 0;
+                }
                 self.start_answered(id, answer, now);
             }
             Err(CallError::Fenced) => self.send_start(id, now),
--- a/crates/masticcross-jobs/src/supervisor/mod.rs
+++ b/crates/masticcross-jobs/src/supervisor/mod.rs
@@ -136,7 +136,7 @@
     orphaned: Vec<WorkerRun>,
     /// When the worker last answered a poll.
     last_answer_at: Option<Instant>,
-    /// Number of unanswered polls since then, of all loops.
+    /// Number of unanswered polls, of all loops, since the worker last answered a poll or a start.
     missed_polls: u32,
 }
 
--- a/crates/masticcross-jobs/src/supervisor/tests/lease.rs
+++ b/crates/masticcross-jobs/src/supervisor/tests/lease.rs
@@ -92,6 +92,16 @@
         assert_eq!(f.results(), vec![RunResult::Lost]);
     };
 
+    // Guards against runs that end at a worker that fails a part of the calls.
+    an_answered_start_shows_that_the_worker_is_not_silent => |mut f: Fixture| {
+        f.start_run(0, 2);
+        f.miss_poll();
+        f.start_run(1, 2);
+        f.miss_poll();
+        f.advance_in_contact(Duration::from_millis(20));
+        assert!(f.next_poll().lease_until_ms.is_some());
+    };
+
     a_worker_that_answers_again_gets_its_lease_extended => |mut f: Fixture| {
         f.start_run(0, 2);
         for _ in 0..3 {
