Say in two comments what times and reports are meant

A confirmation of the operator view has the time at which the view was the newest, not that at which the read began; reports of earlier processes come from the store as well as from entries. No change of behaviour.

--- a/crates/masticcross-jobs/src/scheduler/operator_view.rs
+++ b/crates/masticcross-jobs/src/scheduler/operator_view.rs
@@ -55,11 +55,11 @@
         }
     }
 
-    /// Records that a read of the operators' records that began at the given time has shown that there
-    /// is no newer view.
-    pub fn view_confirmed(&mut self, read_at: Instant) {
+    /// Records that a read of the operators' records has shown that there was no newer view at the given
+    /// time.
+    pub fn view_confirmed(&mut self, current_at: Instant) {
         let position = self.view_position();
-        self.view_age.confirmed(position, read_at, position);
+        self.view_age.confirmed(position, current_at, position);
     }
 
     /// Returns the answer to a probe.
--- a/crates/masticcross-jobs/src/supervisor/claims.rs
+++ b/crates/masticcross-jobs/src/supervisor/claims.rs
@@ -1,7 +1,7 @@
-//! What is told of the worker by others than itself: heartbeats, saved reports, and announcements of its
-//! end. Other writers' heartbeats arrive at the same address, and late ones of earlier incarnations.
-//! Another incarnation than the worker's is therefore a claim, which is used only once the worker
-//! confirms it: it answers a poll that is meant for this id, with this start time.
+//! What is told of the worker by others than itself: heartbeats, reports of earlier processes of the agent,
+//! and announcements of its end. Other writers' heartbeats arrive at the same address, and late ones of
+//! earlier incarnations. Another incarnation than the worker's is therefore a claim, which is used only once
+//! the worker confirms it: it answers a poll that is meant for this id, with this start time.
 
 use std::time::Duration;
 
